--- /dev/null
+++ b/src/common/tests/test_main.cc
@@ -0,0 +1,6 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include "common/log.h"
+
+INITIALIZE_EASYLOGGINGPP
