--- /dev/null
+++ b/src/quarantine/types.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+namespace teaseljunction {
+
+/// Reports that a request was in flight on a target when the target's process was lost, or that a
+/// suspect has completed.
+struct crash_report {
+  /// Digest of account, method, path and body.
+  std::string fingerprint;
+  /// Daemon id of the daemon beside the target.
+  std::string target;
+  /// True when the request completed at the target, which clears it.
+  bool completed = false;
+};
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/rpc/types.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/result.h"
+#include "common/types.h"
+#include "control/types.h"
+#include "membership/types.h"
+#include "quarantine/types.h"
+#include "shares/types.h"
+
+namespace teaseljunction {
+
+/// Response of a target's daemon to `execute`.
+struct execute_result {
+  outcome<call_answer> answer = error{};
+  /// Admission threshold of the target, to be applied before the next call is sent.
+  overload_level level;
+  /// Attempts of the call's budget that were not used.
+  uint32_t unused_attempts = 0;
+  /// Detail for the entry daemon's latency estimate: time spent in the target's daemon and target.
+  absl::Duration service_time;
+};
+
+/// A daemon's periodic message to the leader.
+struct sync_request {
+  daemon_announcement daemon;
+  uint64_t manifest_version = 0;
+  std::string manifest_digest;
+  uint64_t directory_epoch = 0;
+  uint64_t directory_version = 0;
+  /// Number of quarantined fingerprints that the daemon knows; the list only grows.
+  uint64_t quarantine_size = 0;
+  std::vector<token_demand> demands;
+  std::vector<crash_report> crashes;
+};
+
+/// The leader's answer to `sync`.
+struct sync_response {
+  /// False when the answering daemon is not the leader or its lease has expired. Then only
+  /// `leader_address` is set, and it may be empty.
+  bool from_leader = false;
+  std::string leader_address;
+  /// The manifest when the daemon's one is not current. Version 0 otherwise.
+  manifest_record manifest;
+  directory_update directory;
+  std::vector<token_grant> grants;
+  /// Fingerprints after the first `quarantine_size` of the request.
+  std::vector<std::string> quarantined;
+};
+
+/// The answer to `propose`.
+struct propose_response {
+  /// Set when the answering member is not the leader.
+  bool from_leader = false;
+  std::string leader_address;
+  /// The result of the command, or why its outcome is not known.
+  command_result result;
+};
+
+/// One control member as seen by the answering daemon.
+struct member_status {
+  uint64_t member_id = 0;
+  std::string address;
+  std::string data_centre;
+  bool voter = false;
+};
+
+/// State of a daemon for operators.
+struct status_report {
+  daemon_announcement daemon;
+  uint64_t manifest_version = 0;
+  std::string manifest_digest;
+  bool fresh = false;
+  /// Running and queued calls.
+  uint64_t calls_running = 0;
+  uint64_t calls_queued = 0;
+  uint64_t concurrency_limit = 0;
+  /// The directory as this daemon knows it.
+  std::vector<daemon_announcement> directory;
+  /// Set on control members.
+  bool control = false;
+  member_role role = member_role::kFollower;
+  uint64_t term = 0;
+  uint64_t commit_index = 0;
+  std::string leader_address;
+  std::vector<member_status> members;
+};
+
+}  // namespace teaseljunction
