--- a/src/common/error_kind.h
+++ b/src/common/error_kind.h
@@ -42,6 +42,7 @@
   kAnswerTooLarge,
   kDeadlineExceeded,
   kOutcomeUnknown,
+  kTargetOutdated,
   // Operators' requests and the control group.
   kManifestInvalid,
   kManifestConflict,
--- a/src/common/internal/error_table.cc
+++ b/src/common/internal/error_table.cc
@@ -65,6 +65,8 @@
      "The request did not finish before its deadline."},
     {error_kind::kOutcomeUnknown, 502, kMay, false, false, "outcome-unknown",
      "The outcome of the request is unknown."},
+    {error_kind::kTargetOutdated, 409, kNot, false, false, "target-outdated",
+     "A later process of the target has announced itself."},
     {error_kind::kManifestInvalid, 400, kNot, false, false, "manifest-invalid",
      "The manifest is invalid."},
     {error_kind::kManifestConflict, 409, kNot, false, false, "manifest-conflict",
--- /dev/null
+++ b/src/daemon/internal/daemon.cc
@@ -0,0 +1,240 @@
+#include "daemon/daemon.h"
+
+#include <ctime>
+#include <utility>
+
+#include "common/clock_source.h"
+#include "common/log.h"
+#include "control/control_member.h"
+#include "daemon/leader_client.h"
+#include "daemon/leader_service.h"
+#include "daemon/node.h"
+#include "daemon/operator_handler.h"
+#include "daemon/sync_loop.h"
+#include "daemon/timer_thread.h"
+#include "gateway/entry_service.h"
+#include "http/curl_client.h"
+#include "http/http_server.h"
+#include "rpc/rpc_peer_client.h"
+#include "rpc/rpc_server.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr absl::Duration kIdleCheckInterval = absl::Milliseconds(20);
+constexpr absl::Duration kOperatorsDrainTimeout = absl::Seconds(1);
+
+// Sends Raft messages through the connections that are kept to the other daemons.
+class peer_raft_transport : public raft_transport {
+ public:
+  explicit peer_raft_transport(peer_client& peers) : peers_(peers) {}
+
+  void Send(absl::string_view address, std::string message) override {
+    peers_.Raft(address, std::move(message));
+  }
+
+ private:
+  peer_client& peers_;
+};
+
+// Incarnations have to grow over restarts, so they come from the wall clock.
+uint64_t NewIncarnation() { return static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())); }
+
+class daemon_process_impl : public daemon_process {
+ public:
+  explicit daemon_process_impl(daemon_settings settings);
+  ~daemon_process_impl() override;
+
+  result<void> Start();
+  void RequestStop() override;
+  bool Run() override;
+
+ private:
+  result<void> StartControl();
+  result<void> StartServers();
+  void WaitForStop();
+  bool Drain();
+  bool WaitUntilIdle(absl::Time deadline);
+
+  const daemon_settings settings_;
+  system_clock_source clock_;
+  system_random_source random_;
+  call_metrics metrics_;
+  pending_work pending_;
+  configuration config_;
+  quarantine_registry quarantine_;
+  call_context_table contexts_{random_};
+  timer_thread timers_{clock_};
+  std::unique_ptr<rpc_peer_client> peers_;
+  std::unique_ptr<curl_client> client_;
+  leader_locator locator_;
+  target_selector targets_;
+  std::unique_ptr<sync_loop> sync_;
+  account_limiter accounts_;
+  std::unique_ptr<leader_client> control_;
+  std::unique_ptr<target_executor> executor_;
+  std::unique_ptr<peer_raft_transport> raft_;
+  std::unique_ptr<control_member> member_;
+  std::unique_ptr<leader_service> leader_;
+  std::unique_ptr<node> node_;
+  std::unique_ptr<entry_ports> entry_ports_;
+  std::unique_ptr<target_endpoint> target_endpoint_;
+  std::unique_ptr<entry_service> entry_;
+  std::unique_ptr<operator_handler> operators_;
+  std::unique_ptr<rpc_server> rpc_server_;
+  std::unique_ptr<http_server> entry_server_;
+  std::unique_ptr<http_server> operators_server_;
+
+  absl::Mutex stop_mutex_;
+  bool stop_requested_ ABSL_GUARDED_BY(stop_mutex_) = false;
+};
+
+daemon_process_impl::daemon_process_impl(daemon_settings settings)
+    : settings_(std::move(settings)),
+      peers_(rpc_peer_client_builder().Threads(settings_.rpc_threads).Build()),
+      client_(curl_client_builder().Threads(settings_.client_threads).Build()),
+      locator_(settings_.control_peers),
+      targets_(settings_.daemon_id, settings_.data_centre, random_),
+      accounts_(clock_, timers_, settings_.token_wait, [this] { sync_->RequestSync(); }) {
+  control_ = std::make_unique<leader_client>(clock_, timers_, *peers_, locator_);
+  executor_ = std::make_unique<target_executor>(
+      executor_ports{clock_, timers_, contexts_, *client_, quarantine_}, settings_.daemon_id,
+      admission_controller_builder().Build());
+  sync_ = std::make_unique<sync_loop>(
+      sync_ports{clock_, timers_, *peers_, locator_, config_, accounts_, targets_, *executor_,
+                 quarantine_},
+      settings_, NewIncarnation());
+  sync_->OnManifest([this](const manifest_index& manifest) {
+    const auto target = executor_->Target();
+    const service* own = target ? manifest.FindService(target->service) : nullptr;
+    executor_->SetMaxConcurrency(own == nullptr ? 0 : own->max_concurrency);
+  });
+  entry_ports_ = std::make_unique<entry_ports>(
+      entry_ports{clock_, random_, timers_, accounts_, targets_, *control_, *peers_, quarantine_,
+                  metrics_, pending_});
+  target_endpoint_ = std::make_unique<target_endpoint>(*executor_);
+  entry_ = std::make_unique<entry_service>(*entry_ports_, config_, contexts_, *target_endpoint_);
+}
+
+daemon_process_impl::~daemon_process_impl() {
+  sync_->Stop();
+  entry_server_.reset();
+  operators_server_.reset();
+  rpc_server_.reset();
+  member_.reset();
+  timers_.Stop();
+  peers_.reset();
+  client_.reset();
+}
+
+result<void> daemon_process_impl::StartControl() {
+  if (!settings_.control) return {};
+  raft_ = std::make_unique<peer_raft_transport>(*peers_);
+  control_member_settings settings;
+  settings.address = settings_.rpc_listen;
+  settings.data_centre = settings_.data_centre;
+  settings.initial_peers = settings_.control_peers;
+  settings.data_folder = settings_.data_dir;
+  BOOST_LEAF_ASSIGN(member_, control_member_builder()
+                                 .WithSettings(std::move(settings))
+                                 .WithClock(clock_)
+                                 .WithRandom(random_)
+                                 .WithTransport(*raft_)
+                                 .Build());
+  leader_ = std::make_unique<leader_service>(clock_, *member_);
+  return {};
+}
+
+result<void> daemon_process_impl::StartServers() {
+  rpc_server_ = rpc_server_builder()
+                    .Address(settings_.rpc_listen)
+                    .Threads(settings_.rpc_threads)
+                    .Service(node_.get())
+                    .Build();
+  BOOST_LEAF_CHECK(rpc_server_->Start());
+  entry_server_ = http_server_builder()
+                      .Address(settings_.listen)
+                      .Threads(settings_.http_threads)
+                      .MaxBodyBytes(settings_.max_body_bytes)
+                      .Handler(entry_.get())
+                      .Build();
+  BOOST_LEAF_CHECK(entry_server_->Start());
+  operators_server_ = http_server_builder()
+                          .Address(settings_.operators_listen)
+                          .Threads(1)
+                          .MaxConnections(64)
+                          .Handler(operators_.get())
+                          .Build();
+  BOOST_LEAF_CHECK(operators_server_->Start());
+  return {};
+}
+
+result<void> daemon_process_impl::Start() {
+  BOOST_LEAF_CHECK(StartControl());
+  node_ = std::make_unique<node>(clock_, *executor_, config_, *sync_, member_.get(),
+                                 leader_.get());
+  operators_ = std::make_unique<operator_handler>(clock_, *node_, *control_, metrics_,
+                                                  [this] { RequestStop(); });
+  BOOST_LEAF_CHECK(StartServers());
+  sync_->Start();
+  LOG(INFO) << "daemon: " << settings_.daemon_id << " serves callers at " << settings_.listen
+            << ", daemons at " << settings_.rpc_listen << " and operators at "
+            << settings_.operators_listen << ".";
+  return {};
+}
+
+void daemon_process_impl::RequestStop() {
+  absl::MutexLock lock(&stop_mutex_);
+  stop_requested_ = true;
+}
+
+void daemon_process_impl::WaitForStop() {
+  absl::MutexLock lock(&stop_mutex_);
+  stop_mutex_.Await(absl::Condition(&stop_requested_));
+}
+
+bool daemon_process_impl::Run() {
+  WaitForStop();
+  LOG(INFO) << "daemon: planned shutdown begins.";
+  const bool finished = Drain();
+  LOG(INFO) << "daemon: planned shutdown is complete.";
+  return finished;
+}
+
+bool daemon_process_impl::WaitUntilIdle(absl::Time deadline) {
+  while (clock_.Now() < deadline) {
+    const executor_status executor = executor_->Status();
+    if (executor.running == 0 && executor.queued == 0) return true;
+    absl::SleepFor(kIdleCheckInterval);
+  }
+  return false;
+}
+
+bool daemon_process_impl::Drain() {
+  const absl::Time deadline = clock_.Now() + settings_.drain_delay + settings_.drain_timeout;
+  sync_->BeginDrain();
+  // Other daemons learn of the shutdown with their next sync; until then calls still arrive.
+  absl::SleepFor(settings_.drain_delay);
+  // The HTTP listener stays open until the target has no call, because its child calls come here.
+  bool finished = WaitUntilIdle(deadline);
+  finished = entry_server_->Drain(deadline - clock_.Now()) && finished;
+  finished = pending_.WaitUntilIdle(deadline - clock_.Now()) && finished;
+  finished = rpc_server_->Drain(deadline - clock_.Now()) && finished;
+  operators_server_->Drain(kOperatorsDrainTimeout);
+  return finished;
+}
+
+}  // namespace
+
+daemon_builder& daemon_builder::WithSettings(daemon_settings settings) {
+  settings_ = std::move(settings);
+  return *this;
+}
+
+result<std::unique_ptr<daemon_process>> daemon_builder::Build() {
+  auto built = std::make_unique<daemon_process_impl>(settings_);
+  BOOST_LEAF_CHECK(built->Start());
+  return std::unique_ptr<daemon_process>(std::move(built));
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/daemon/internal/leader_service.cc
@@ -0,0 +1,110 @@
+#include "daemon/leader_service.h"
+
+#include <utility>
+
+#include "common/log.h"
+#include "manifest/manifest_codec.h"
+
+namespace teaseljunction {
+
+leader_service::leader_service(const clock_source& clock, control_member& member)
+    : clock_(clock), member_(member) {}
+
+// Returns false when the lease is not held at `now`.
+bool leader_service::StartTermIfNew(absl::Time now) {
+  absl::MutexLock lock(&term_mutex_);
+  // The lease is checked with the time that is used for all decisions of this sync, so that a
+  // process that was suspended in between decides as of a time at which it was the leader.
+  if (!member_.LeaseHeld(now)) return false;
+  const uint64_t term = member_.Status().term;
+  if (term == term_) return true;
+  term_ = term;
+  LOG(INFO) << "control: this daemon serves as the leader in term " << term << ".";
+  {
+    absl::MutexLock directory_lock(&directory_mutex_);
+    directory_.StartTerm(term, now);
+  }
+  {
+    absl::MutexLock shares_lock(&shares_mutex_);
+    shares_.StartTerm(now);
+    accounts_version_ = 0;
+  }
+  absl::MutexLock crash_lock(&crash_mutex_);
+  crashes_ = crash_tracker();
+  return true;
+}
+
+sync_response leader_service::Sync(const sync_request& request) {
+  sync_response response;
+  const absl::Time now = clock_.Now();
+  if (!StartTermIfNew(now)) {
+    response.leader_address = member_.LeaderAddress();
+    return response;
+  }
+  const auto manifest = member_.Manifest();
+  if (manifest->version != request.manifest_version ||
+      manifest->digest != request.manifest_digest) {
+    response.manifest = *manifest;
+  }
+  response.directory = UpdateDirectory(request, now);
+  response.grants = Grant(request, now);
+  response.suspects = TrackCrashes(request, now);
+  response.quarantined = member_.Quarantined(request.quarantine_size);
+  response.from_leader = true;
+  return response;
+}
+
+directory_update leader_service::UpdateDirectory(const sync_request& request, absl::Time now) {
+  absl::MutexLock lock(&directory_mutex_);
+  directory_.Heartbeat(request.daemon, now);
+  const size_t removed = directory_.Expire(now);
+  if (removed > 0) {
+    LOG(INFO) << "membership: " << removed << " daemons were silent and are removed.";
+  }
+  return directory_.Since(request.directory_epoch, request.directory_version);
+}
+
+void leader_service::UpdateAccounts(absl::Time now) {
+  const auto record = member_.Manifest();
+  if (record->version == accounts_version_) return;
+  const auto decoded = Capture<manifest>([&] { return DecodeManifest(record->content); });
+  if (decoded.index() != 0) return;
+  std::vector<account_rate> rates;
+  for (const client_account& account : std::get<manifest>(decoded).client_accounts) {
+    rates.push_back({account.name, account.rate, account.burst});
+  }
+  shares_.SetAccounts(rates, now);
+  accounts_version_ = record->version;
+}
+
+std::vector<token_grant> leader_service::Grant(const sync_request& request, absl::Time now) {
+  std::vector<token_grant> grants;
+  if (request.demands.empty()) return grants;
+  absl::MutexLock lock(&shares_mutex_);
+  UpdateAccounts(now);
+  for (const token_demand& demand : request.demands) grants.push_back(shares_.Demand(demand, now));
+  return grants;
+}
+
+std::vector<std::string> leader_service::TrackCrashes(const sync_request& request,
+                                                      absl::Time now) {
+  std::vector<std::string> quarantined;
+  std::vector<std::string> suspects;
+  {
+    absl::MutexLock lock(&crash_mutex_);
+    for (const crash_report& report : request.crashes) {
+      if (auto fingerprint = crashes_.Report(report, now)) {
+        quarantined.push_back(*std::move(fingerprint));
+      }
+    }
+    suspects = crashes_.Suspects(now);
+  }
+  for (std::string& fingerprint : quarantined) {
+    LOG(WARNING) << "quarantine: requests with fingerprint " << fingerprint
+                 << " crashed several targets and are refused.";
+    member_.Propose(quarantine_request{std::move(fingerprint)}, [](const propose_response&) {});
+  }
+  return suspects;
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,67 @@
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+#include "common/log.h"
+#include "daemon/daemon.h"
+#include "daemon/settings.h"
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace teaseljunction {
+namespace {
+
+constexpr int kUsageExitCode = 2;
+
+// Blocks SIGTERM and SIGINT in this thread and in all threads that it starts, and ignores SIGPIPE,
+// since lost connections are reported by the calls that use them.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+void StopOnSignal(sigset_t signals, daemon_process& process) {
+  std::thread([signals, &process] {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    process.RequestStop();
+  }).detach();
+}
+
+int Serve(daemon_settings settings) {
+  const sigset_t signals = BlockStopSignals();
+  auto built = Capture<std::unique_ptr<daemon_process>>(
+      [&] { return daemon_builder().WithSettings(std::move(settings)).Build(); });
+  if (const auto* failure = std::get_if<error>(&built)) {
+    std::cerr << "teaseljunctiond: " << AnswerFor(failure->kind).title << " " << failure->detail
+              << "\n";
+    return EXIT_FAILURE;
+  }
+  auto process = std::get<std::unique_ptr<daemon_process>>(std::move(built));
+  StopOnSignal(signals, *process);
+  return process->Run() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace teaseljunction
+
+int main(int argc, char** argv) {
+  using namespace teaseljunction;  // NOLINT(google-build-using-namespace)
+  auto settings = Capture<daemon_settings>([&] { return ReadSettings(argc, argv); });
+  if (const auto* failure = std::get_if<error>(&settings)) {
+    std::cerr << "teaseljunctiond: " << failure->detail << "\n";
+    return kUsageExitCode;
+  }
+  const auto& checked = std::get<daemon_settings>(settings);
+  if (!ConfigureLog(checked.log)) {
+    std::cerr << "teaseljunctiond: --log_level: must be debug, info, warning or error.\n";
+    return kUsageExitCode;
+  }
+  return Serve(checked);
+}
--- /dev/null
+++ b/src/daemon/node.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "control/control_member.h"
+#include "daemon/leader_service.h"
+#include "daemon/sync_loop.h"
+#include "gateway/configuration.h"
+#include "gateway/target_executor.h"
+#include "rpc/node_service.h"
+
+namespace teaseljunction {
+
+/// What this daemon offers to other daemons and to operators. Thread-safe.
+class node : public node_service {
+ public:
+  /// `member` and `leader` are null on daemons outside the control group.
+  node(const clock_source& clock, target_executor& executor, configuration& config,
+       sync_loop& sync, control_member* member, leader_service* leader);
+
+  std::shared_ptr<execution> Execute(call request,
+                                     absl::AnyInvocable<void(execute_result)> completion) override;
+  void Sync(sync_request request, absl::AnyInvocable<void(sync_response)> completion) override;
+  void Propose(command proposal, absl::AnyInvocable<void(propose_response)> completion) override;
+  void Raft(std::string message) override;
+  manifest_record Manifest() override;
+  status_report Status() override;
+
+ private:
+  const clock_source& clock_;
+  target_executor& executor_;
+  configuration& config_;
+  sync_loop& sync_;
+  control_member* const member_;
+  leader_service* const leader_;
+};
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/daemon/sync_loop.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/functional/any_invocable.h"
+#include "absl/synchronization/mutex.h"
+#include "daemon/leader_client.h"
+#include "daemon/settings.h"
+#include "gateway/account_limiter.h"
+#include "gateway/configuration.h"
+#include "gateway/quarantine_registry.h"
+#include "gateway/target_executor.h"
+#include "gateway/target_selector.h"
+#include "membership/directory_view.h"
+
+namespace teaseljunction {
+
+/// What the sync loop works with. All parts outlive it.
+struct sync_ports {
+  const clock_source& clock;
+  scheduler& timers;
+  peer_client& peers;
+  leader_locator& locator;
+  configuration& config;
+  account_limiter& accounts;
+  target_selector& targets;
+  target_executor& executor;
+  quarantine_registry& quarantine;
+};
+
+/// Keeps this daemon in step with the leader: sends the announcement and the demands, and applies
+/// the manifest, the directory, the grants and the quarantine list. One sync is in flight at a
+/// time. Thread-safe.
+class sync_loop {
+ public:
+  sync_loop(const sync_ports& ports, const daemon_settings& settings, uint64_t incarnation);
+
+  /// Sends the first sync and goes on until `Stop`.
+  void Start();
+
+  /// Asks for a sync before the next regular one, at most ten times a second.
+  void RequestSync();
+
+  /// Announces the planned shutdown from the next sync on.
+  void BeginDrain();
+
+  /// Sends no further sync.
+  void Stop();
+
+  /// Returns the directory as this daemon knows it.
+  std::vector<daemon_announcement> Directory();
+
+  /// Returns the announcement of this daemon.
+  daemon_announcement Announcement();
+
+  /// Runs after each new manifest was put in force.
+  void OnManifest(absl::AnyInvocable<void(const manifest_index&)> callback);
+
+ private:
+  void ScheduleAt(absl::Time when) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void Send();
+  sync_request BuildRequest();
+  void OnResponse(const std::string& address, absl::Time sent_at,
+                  outcome<sync_response> response);
+  void Apply(const sync_response& response, uint64_t known_quarantine, absl::Time sent_at);
+  bool ApplyManifest(const manifest_record& record);
+  void ApplyDirectory(const directory_update& update);
+
+  const sync_ports ports_;
+  const daemon_settings& settings_;
+  const uint64_t incarnation_;
+  absl::AnyInvocable<void(const manifest_index&)> on_manifest_;
+
+  absl::Mutex mutex_;
+  directory_view directory_ ABSL_GUARDED_BY(mutex_);
+  bool in_flight_ ABSL_GUARDED_BY(mutex_) = false;
+  bool requested_ ABSL_GUARDED_BY(mutex_) = false;
+  bool draining_ ABSL_GUARDED_BY(mutex_) = false;
+  bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+  absl::Time last_sent_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  absl::Time scheduled_for_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
+  uint64_t timer_id_ ABSL_GUARDED_BY(mutex_) = 0;
+  uint64_t sent_quarantine_size_ ABSL_GUARDED_BY(mutex_) = 0;
+  // Reports of a sync that failed; they are sent again.
+  std::vector<crash_report> unsent_reports_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/gateway/entry_call.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "balancer/attempt_budget.h"
+#include "gateway/account_limiter.h"
+#include "gateway/call_metrics.h"
+#include "gateway/call_resolver.h"
+#include "gateway/control_client.h"
+#include "gateway/pending_work.h"
+#include "gateway/quarantine_registry.h"
+#include "gateway/scheduler.h"
+#include "gateway/target_selector.h"
+#include "http/http_handler.h"
+#include "rpc/peer_client.h"
+
+namespace teaseljunction {
+
+/// What entry calls work with. All parts outlive every call.
+struct entry_ports {
+  const clock_source& clock;
+  random_source& random;
+  scheduler& timers;
+  account_limiter& accounts;
+  target_selector& targets;
+  control_client& control;
+  peer_client& peers;
+  quarantine_registry& quarantine;
+  call_metrics& metrics;
+  pending_work& pending;
+};
+
+/// One request of a caller or a child call of the local target, from its resolution to its answer:
+/// token of the client account, claim, choice of a target, attempts, answer. The steps run one after
+/// the other on whichever thread finishes the step before. Keeps itself alive until it has answered.
+class entry_call : public std::enable_shared_from_this<entry_call> {
+ public:
+  entry_call(const entry_ports& ports, resolved_call resolved,
+             std::shared_ptr<http_exchange> exchange);
+
+  /// Begins the call. `this` must be owned by a shared pointer.
+  void Start();
+
+ private:
+  void AcquireToken();
+  void OnToken(const token_result& token);
+  void RegisterClaim();
+  void OnClaim(const outcome<command_result>& claimed);
+  void AnswerRecorded(call_answer recorded);
+  void Dispatch();
+  void SendAttempt(const target_choice& target, uint32_t attempt_budget_for_target);
+  void OnAttempt(const std::string& daemon_id, absl::Time sent_at, execute_result executed);
+  void HandleFailure(const error& failure);
+  void RecordAttemptOutcome(const std::string& daemon_id, absl::Time sent_at,
+                            const execute_result& executed);
+  void OnCallerGone();
+  bool CallerGone();
+
+  void Answer(call_answer answer);
+  void Refuse(const error& failure, absl::optional<absl::Duration> retry_after = absl::nullopt);
+  void Finish(http_response response);
+  void Complete(const call_answer& answer);
+  void Release();
+  void ProposeInBackground(command proposal);
+
+  const entry_ports& ports_;
+  const resolved_call resolved_;
+  const std::shared_ptr<http_exchange> exchange_;
+  const absl::Time started_at_;
+  const std::string attempt_id_;
+  attempt_budget budget_;
+  std::vector<std::string> tried_;
+  uint32_t attempts_ = 0;
+  uint32_t crashes_ = 0;
+  bool claim_held_ = false;
+  // True once an attempt ended in a way that does not exclude that the target ran the request.
+  bool may_have_run_ = false;
+  // Kept to be passed on when a retry after a failure response is not possible.
+  absl::optional<call_answer> failure_answer_;
+  absl::Duration last_service_time_;
+
+  absl::Mutex mutex_;
+  bool caller_gone_ ABSL_GUARDED_BY(mutex_) = false;
+  absl::optional<uint64_t> execute_id_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/gateway/internal/call_metrics.cc
@@ -0,0 +1,113 @@
+#include "gateway/call_metrics.h"
+
+#include <cmath>
+#include <functional>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+
+namespace teaseljunction {
+namespace {
+
+namespace bh = boost::histogram;
+
+constexpr int kLatencyBins = 60;
+constexpr double kLowestSeconds = 1e-5;
+constexpr double kHighestSeconds = 1e2;
+
+template <class Histogram>
+Histogram MakeLatencyHistogram() {
+  return bh::make_histogram(
+      bh::axis::integer<>(0, kPriorityCount),
+      bh::axis::regular<double, bh::axis::transform::log>(kLatencyBins, kLowestSeconds,
+                                                          kHighestSeconds));
+}
+
+// Appends one histogram of all priorities with cumulative buckets.
+template <class Histogram>
+void AppendHistogram(const Histogram& histogram, absl::string_view name, std::string* out) {
+  absl::StrAppend(out, "# TYPE ", name, " histogram\n");
+  const auto& axis = histogram.axis(1);
+  for (int priority = 0; priority < kPriorityCount; ++priority) {
+    const std::string label = absl::StrCat(
+        "priority=\"", PriorityName(static_cast<request_priority>(priority)), "\"");
+    double total = histogram.at(priority, -1);
+    for (int bin = 0; bin < axis.size(); ++bin) {
+      const double count = histogram.at(priority, bin);
+      total += count;
+      if (count == 0) continue;
+      absl::StrAppend(out, name, "_bucket{", label, ",le=\"", axis.bin(bin).upper(), "\"} ", total,
+                      "\n");
+    }
+    total += histogram.at(priority, axis.size());
+    absl::StrAppend(out, name, "_bucket{", label, ",le=\"+Inf\"} ", total, "\n");
+    absl::StrAppend(out, name, "_count{", label, "} ", total, "\n");
+  }
+}
+
+void AppendCounter(absl::string_view name, uint64_t value, std::string* out) {
+  absl::StrAppend(out, "# TYPE ", name, " counter\n", name, " ", value, "\n");
+}
+
+}  // namespace
+
+call_metrics::shard::shard()
+    : latency(MakeLatencyHistogram<latency_histogram>()),
+      added(MakeLatencyHistogram<latency_histogram>()) {}
+
+call_metrics::call_metrics() = default;
+
+call_metrics::shard& call_metrics::ShardOfThread() {
+  return shards_[std::hash<std::thread::id>()(std::this_thread::get_id()) % kShardCount];
+}
+
+void call_metrics::RecordAnswer(request_priority priority, absl::Duration latency,
+                                absl::Duration service_time) {
+  shard& own = ShardOfThread();
+  absl::MutexLock lock(&own.mutex);
+  own.latency(static_cast<int>(priority), absl::ToDoubleSeconds(latency));
+  own.added(static_cast<int>(priority), absl::ToDoubleSeconds(latency - service_time));
+}
+
+void call_metrics::RecordError(error_kind kind) {
+  shard& own = ShardOfThread();
+  absl::MutexLock lock(&own.mutex);
+  ++own.errors[static_cast<size_t>(kind)];
+}
+
+void call_metrics::RecordAttempt(bool retry) {
+  shard& own = ShardOfThread();
+  absl::MutexLock lock(&own.mutex);
+  ++own.attempts;
+  if (retry) ++own.retries;
+}
+
+std::string call_metrics::Report() const {
+  latency_histogram latency = MakeLatencyHistogram<latency_histogram>();
+  latency_histogram added = MakeLatencyHistogram<latency_histogram>();
+  std::array<uint64_t, kErrorKindCount> errors = {};
+  uint64_t attempts = 0;
+  uint64_t retries = 0;
+  for (const shard& part : shards_) {
+    absl::MutexLock lock(&part.mutex);
+    latency += part.latency;
+    added += part.added;
+    for (size_t kind = 0; kind < errors.size(); ++kind) errors[kind] += part.errors[kind];
+    attempts += part.attempts;
+    retries += part.retries;
+  }
+  std::string report;
+  AppendHistogram(latency, "teaseljunction_call_seconds", &report);
+  AppendHistogram(added, "teaseljunction_call_added_seconds", &report);
+  AppendCounter("teaseljunction_attempts_total", attempts, &report);
+  AppendCounter("teaseljunction_retries_total", retries, &report);
+  absl::StrAppend(&report, "# TYPE teaseljunction_errors_total counter\n");
+  for (size_t kind = 0; kind < errors.size(); ++kind) {
+    if (errors[kind] == 0) continue;
+    absl::StrAppend(&report, "teaseljunction_errors_total{kind=\"",
+                    AnswerFor(static_cast<error_kind>(kind)).name, "\"} ", errors[kind], "\n");
+  }
+  return report;
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/gateway/internal/configuration.cc
@@ -0,0 +1,32 @@
+#include "gateway/configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaseljunction {
+
+bool configuration::Install(std::shared_ptr<const manifest_index> next) {
+  absl::MutexLock lock(&mutex_);
+  if (manifest_ != nullptr && next->Manifest().version <= manifest_->Manifest().version) {
+    return false;
+  }
+  manifest_ = std::move(next);
+  return true;
+}
+
+void configuration::ConfirmUntil(absl::Time until) {
+  absl::MutexLock lock(&mutex_);
+  confirmed_until_ = std::max(confirmed_until_, until);
+}
+
+std::shared_ptr<const manifest_index> configuration::Confirmed(absl::Time now) const {
+  absl::MutexLock lock(&mutex_);
+  return now < confirmed_until_ ? manifest_ : nullptr;
+}
+
+std::shared_ptr<const manifest_index> configuration::Latest() const {
+  absl::MutexLock lock(&mutex_);
+  return manifest_;
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/gateway/internal/entry_call.cc
@@ -0,0 +1,274 @@
+#include "gateway/entry_call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "balancer/retry_policy.h"
+#include "common/log.h"
+#include "http/problem.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr int kAttemptIdBytes = 16;
+// A leader change takes 1 to 2 s; a claim waits for it if its deadline allows.
+constexpr absl::Duration kClaimTimeout = absl::Seconds(3);
+// Time for which the outcome of a claimed call is proposed again while the control group is away.
+constexpr absl::Duration kBackgroundProposeTimeout = absl::Seconds(30);
+constexpr absl::string_view kReplayedHeader = "Teaseljunction-Replayed";
+
+// Kinds with which a target or its daemon refuses a call without being at fault.
+bool IsRefusal(error_kind kind) {
+  switch (kind) {
+    case error_kind::kOverloaded:
+    case error_kind::kDeadlineTooShort:
+    case error_kind::kDraining:
+    case error_kind::kTargetShed:
+    case error_kind::kQuarantined:
+      return true;
+    default:
+      return false;
+  }
+}
+
+attempt_result AttemptResultOf(const execute_result& executed) {
+  if (const auto* failure = std::get_if<error>(&executed.answer)) {
+    if (failure->kind == error_kind::kCancelled) return attempt_result::kCancelled;
+    return IsRefusal(failure->kind) ? attempt_result::kRefused : attempt_result::kFailed;
+  }
+  return executed.target_failed ? attempt_result::kFailed : attempt_result::kAnswered;
+}
+
+}  // namespace
+
+entry_call::entry_call(const entry_ports& ports, resolved_call resolved,
+                       std::shared_ptr<http_exchange> exchange)
+    : ports_(ports),
+      resolved_(std::move(resolved)),
+      exchange_(std::move(exchange)),
+      started_at_(ports.clock.Now()),
+      attempt_id_(resolved_.needs_claim ? RandomHex(ports.random, kAttemptIdBytes) : ""),
+      budget_(resolved_.request.attempt_budget) {}
+
+void entry_call::Start() {
+  const auto on_gone = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->OnCallerGone();
+  };
+  exchange_->OnDisconnect(on_gone);
+  if (resolved_.parent != nullptr) resolved_.parent->AddChildCancel(on_gone);
+  if (ports_.quarantine.Contains(resolved_.request.fingerprint)) {
+    return Refuse({error_kind::kQuarantined, ""});
+  }
+  // A request that its service would shed is refused before it uses a token or a claim.
+  if (!ports_.targets.Admits(resolved_.request, started_at_)) {
+    return Refuse({error_kind::kOverloaded, "The targets of the service shed this priority."});
+  }
+  AcquireToken();
+}
+
+void entry_call::AcquireToken() {
+  if (!resolved_.needs_share) return RegisterClaim();
+  ports_.accounts.Acquire(
+      resolved_.request.client_account,
+      [self = shared_from_this()](token_result token) { self->OnToken(token); });
+}
+
+void entry_call::OnToken(const token_result& token) {
+  if (token.granted) return RegisterClaim();
+  Refuse({error_kind::kRateExceeded, ""}, token.retry_after);
+}
+
+void entry_call::RegisterClaim() {
+  if (!resolved_.needs_claim) return Dispatch();
+  const call& request = resolved_.request;
+  const absl::Time deadline =
+      std::min(resolved_.deadline, ports_.clock.Now() + kClaimTimeout);
+  ports_.control.Propose(
+      claim{request.client_account, request.identity, request.fingerprint, attempt_id_}, deadline,
+      [self = shared_from_this()](outcome<command_result> claimed) { self->OnClaim(claimed); });
+}
+
+void entry_call::OnClaim(const outcome<command_result>& claimed) {
+  const auto* decided = std::get_if<command_result>(&claimed);
+  if (decided == nullptr) {
+    // The claim may still be committed later; the request is not dispatched in any case.
+    Release();
+    return Refuse({error_kind::kClaimUnavailable, ""});
+  }
+  if (!decided->applied) return Refuse(decided->failure);
+  if (decided->claim == claim_state::kCompleted) return AnswerRecorded(decided->answer);
+  {
+    absl::MutexLock lock(&mutex_);
+    claim_held_ = true;
+  }
+  Dispatch();
+}
+
+void entry_call::AnswerRecorded(call_answer recorded) {
+  LOG(INFO) << "routing: request " << resolved_.request.request_id
+            << " is answered with the recorded response.";
+  recorded.headers.push_back({std::string(kReplayedHeader), "true"});
+  Answer(std::move(recorded));
+}
+
+void entry_call::Dispatch() {
+  const absl::Time now = ports_.clock.Now();
+  if (CallerGone()) return Refuse({error_kind::kCancelled, ""});
+  if (now >= resolved_.deadline) return Refuse({error_kind::kDeadlineTooShort, ""});
+  const auto target = ports_.targets.Choose(resolved_.request, tried_, now);
+  if (!target) return Refuse({error_kind::kNoTarget, ""});
+  const auto handed_on = budget_.TakeForDispatch();
+  if (!handed_on) return Refuse({error_kind::kAttemptsExhausted, ""});
+  ++attempts_;
+  if (attempts_ == 1) ports_.targets.RecordAttempt(resolved_.request.service, now);
+  ports_.metrics.RecordAttempt(attempts_ > 1);
+  SendAttempt(*target, *handed_on);
+}
+
+void entry_call::SendAttempt(const target_choice& target, uint32_t attempt_budget_for_target) {
+  const absl::Time now = ports_.clock.Now();
+  call request = resolved_.request;
+  request.time_left = resolved_.deadline - now;
+  request.attempt_budget = attempt_budget_for_target;
+  LOG(INFO) << "routing: request " << request.request_id << " of account "
+            << request.client_account << " for service " << request.service << " is sent to target "
+            << target.daemon_id << " at " << target.address << ", attempt " << attempts_ << ", depth "
+            << request.depth << ".";
+  tried_.push_back(target.daemon_id);
+  ports_.targets.Started(request.service, target.daemon_id, now);
+  const absl::Duration time_left = request.time_left;
+  const uint64_t id = ports_.peers.Execute(
+      target.address, std::move(request), time_left,
+      [self = shared_from_this(), daemon_id = target.daemon_id, now](execute_result executed) {
+        self->OnAttempt(daemon_id, now, std::move(executed));
+      });
+  bool cancel = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    execute_id_ = id;
+    cancel = caller_gone_ && !claim_held_;
+  }
+  // The caller may have gone while the attempt was being sent. Ids of finished attempts are ignored.
+  if (cancel) ports_.peers.CancelExecute(id);
+}
+
+void entry_call::RecordAttemptOutcome(const std::string& daemon_id, absl::Time sent_at,
+                                      const execute_result& executed) {
+  const absl::Time now = ports_.clock.Now();
+  ports_.targets.Finished(resolved_.request.service, daemon_id, AttemptResultOf(executed),
+                          now - sent_at, executed.level, now);
+  budget_.Return(executed.unused_attempts);
+  last_service_time_ = executed.service_time;
+}
+
+void entry_call::OnAttempt(const std::string& daemon_id, absl::Time sent_at,
+                           execute_result executed) {
+  RecordAttemptOutcome(daemon_id, sent_at, executed);
+  if (auto* answer = std::get_if<call_answer>(&executed.answer)) {
+    if (!executed.target_failed || claim_held_) return Answer(std::move(*answer));
+    failure_answer_ = std::move(*answer);
+    return HandleFailure({error_kind::kTargetFailed, "The target answered with a server error."});
+  }
+  failure_answer_.reset();
+  HandleFailure(std::get<error>(executed.answer));
+}
+
+void entry_call::HandleFailure(const error& failure) {
+  if (AnswerFor(failure.kind).run == run_state::kMayHaveRun) may_have_run_ = true;
+  const absl::Time now = ports_.clock.Now();
+  if (failure.kind == error_kind::kTargetCrashed) ++crashes_;
+  absl::optional<absl::Duration> retry_delay;
+  if (!CallerGone()) {
+    retry_delay =
+        ports_.targets.WithRetryBudget(resolved_.request.service, [&](retry_budget& retries) {
+          return DecideRetry({.service = resolved_.request.service,
+                              .kind = failure.kind,
+                              .idempotent = resolved_.request.idempotent,
+                              .has_claim = claim_held_,
+                              .attempts_made = attempts_,
+                              .crashes = crashes_,
+                              .time_left = resolved_.deadline - now},
+                             retries, ports_.random, now);
+        });
+  }
+  if (retry_delay) {
+    LOG(INFO) << "routing: request " << resolved_.request.request_id << " is retried after "
+              << AnswerFor(failure.kind).name << ".";
+    ports_.timers.RunAt(now + *retry_delay, [self = shared_from_this()] { self->Dispatch(); });
+    return;
+  }
+  if (failure_answer_) return Answer(std::move(*failure_answer_));
+  Refuse(failure);
+}
+
+void entry_call::OnCallerGone() {
+  absl::optional<uint64_t> running;
+  {
+    absl::MutexLock lock(&mutex_);
+    caller_gone_ = true;
+    // A claimed call runs on, so that a repeat of the request gets its answer.
+    if (!claim_held_) running = execute_id_;
+  }
+  if (running) ports_.peers.CancelExecute(*running);
+}
+
+bool entry_call::CallerGone() {
+  absl::MutexLock lock(&mutex_);
+  return caller_gone_;
+}
+
+void entry_call::Answer(call_answer answer) {
+  if (claim_held_) Complete(answer);
+  ports_.metrics.RecordAnswer(resolved_.request.priority, ports_.clock.Now() - started_at_,
+                              last_service_time_);
+  Finish({answer.status, std::move(answer.headers), std::move(answer.body)});
+}
+
+void entry_call::Refuse(const error& failure, absl::optional<absl::Duration> retry_after) {
+  error reported = failure;
+  // A refusal of a later attempt must not hide that an earlier one may have run.
+  if (may_have_run_ && AnswerFor(failure.kind).run == run_state::kNotRun) {
+    reported = {error_kind::kOutcomeUnknown, failure.detail};
+  }
+  if (claim_held_ && !may_have_run_) Release();
+  LOG(INFO) << "routing: request " << resolved_.request.request_id << " of account "
+            << resolved_.request.client_account << " for service " << resolved_.request.service
+            << " is refused: " << AnswerFor(reported.kind).name << ".";
+  ports_.metrics.RecordError(reported.kind);
+  const uint32_t seconds =
+      RetryAfterSeconds(retry_after.value_or(absl::Seconds(1)), ports_.random);
+  Finish(ProblemResponse(reported, resolved_.request.request_id, absl::Seconds(seconds)));
+}
+
+void entry_call::Finish(http_response response) {
+  if (resolved_.parent != nullptr) {
+    resolved_.parent->ReturnFromChild(resolved_.parent_part, budget_.Left());
+  }
+  response.headers.push_back({std::string(kRequestIdHeader), resolved_.request.request_id});
+  exchange_->Respond(std::move(response));
+}
+
+void entry_call::Complete(const call_answer& answer) {
+  const call& request = resolved_.request;
+  ProposeInBackground(complete{request.client_account, request.identity, attempt_id_, answer});
+}
+
+void entry_call::Release() {
+  const call& request = resolved_.request;
+  ProposeInBackground(release{request.client_account, request.identity, attempt_id_});
+}
+
+void entry_call::ProposeInBackground(command proposal) {
+  ports_.pending.Begin();
+  ports_.control.Propose(
+      std::move(proposal), ports_.clock.Now() + kBackgroundProposeTimeout,
+      [self = shared_from_this()](const outcome<command_result>& recorded) {
+        if (recorded.index() != 0) {
+          LOG(WARNING) << "routing: the outcome of request " << self->resolved_.request.request_id
+                       << " could not be recorded.";
+        }
+        self->ports_.pending.End();
+      });
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/gateway/internal/entry_service.cc
@@ -0,0 +1,61 @@
+#include "gateway/entry_service.h"
+
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "common/log.h"
+#include "http/problem.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr int kRequestIdBytes = 8;
+
+}  // namespace
+
+entry_service::entry_service(const entry_ports& ports, const configuration& config,
+                             call_context_table& contexts, target_endpoint& target)
+    : ports_(ports), config_(config), contexts_(contexts), target_(target) {}
+
+void entry_service::Handle(http_request request, std::shared_ptr<http_exchange> exchange) {
+  if (request.path == kTargetPath) {
+    exchange->Respond(target_.Handle(request));
+    return;
+  }
+  HandleCall(request, std::move(exchange));
+}
+
+result<resolved_call> entry_service::Resolve(const http_request& request,
+                                             const std::string& request_id) {
+  const absl::Time now = ports_.clock.Now();
+  const auto manifest = config_.Confirmed(now);
+  if (manifest == nullptr) return Fail(error_kind::kConfigurationStale);
+  BOOST_LEAF_AUTO(resolved, ResolveCall(*manifest, contexts_, request, request_id, now));
+  if (resolved.parent == nullptr) return resolved;
+  const auto attempts = resolved.parent->TakeForChild();
+  if (!attempts) return Fail(error_kind::kAttemptsExhausted);
+  resolved.request.attempt_budget = attempts->attempts;
+  resolved.parent_part = attempts->part;
+  return resolved;
+}
+
+void entry_service::HandleCall(const http_request& request,
+                               std::shared_ptr<http_exchange> exchange) {
+  const std::string request_id = RandomHex(ports_.random, kRequestIdBytes);
+  outcome<resolved_call> resolved =
+      Capture<resolved_call>([&] { return Resolve(request, request_id); });
+  if (const auto* failure = std::get_if<error>(&resolved)) {
+    LOG(INFO) << "routing: request " << request_id
+              << " is refused: " << AnswerFor(failure->kind).name << ".";
+    ports_.metrics.RecordError(failure->kind);
+    http_response response = ProblemResponse(*failure, request_id);
+    response.headers.push_back({std::string(kRequestIdHeader), request_id});
+    exchange->Respond(std::move(response));
+    return;
+  }
+  std::make_shared<entry_call>(ports_, std::get<resolved_call>(std::move(resolved)),
+                               std::move(exchange))
+      ->Start();
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/gateway/internal/target_executor.cc
@@ -0,0 +1,333 @@
+#include "gateway/target_executor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "common/log.h"
+#include "gateway/call_resolver.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+constexpr int kServerErrorStatus = 500;
+// Headers and bookkeeping of a queued call, for the bound on queue memory.
+constexpr size_t kCallOverheadBytes = 1024;
+
+http_request RequestForTarget(const call& request, absl::string_view token,
+                              absl::Duration time_left) {
+  http_request sent{request.method, request.path, request.headers, request.body};
+  sent.headers.push_back({std::string(kRequestIdHeader), request.request_id});
+  sent.headers.push_back({std::string(kContextHeader), std::string(token)});
+  sent.headers.push_back(
+      {std::string(kDeadlineHeader), absl::StrCat(absl::ToInt64Milliseconds(time_left))});
+  sent.headers.push_back({std::string(kClientAccountHeader), request.client_account});
+  return sent;
+}
+
+target_result ResultOf(const outcome<http_response>& response) {
+  if (const auto* failure = std::get_if<error>(&response)) {
+    if (failure->kind == error_kind::kDeadlineExceeded) return target_result::kTimedOut;
+    if (failure->kind == error_kind::kCancelled) return target_result::kCancelled;
+    return target_result::kFailed;
+  }
+  const http_response& received = std::get<http_response>(response);
+  const bool shed = received.status == kServiceUnavailable &&
+                    FindHeader(received.headers, kShedHeader).value_or("") == "true";
+  return shed ? target_result::kShed : target_result::kAnswered;
+}
+
+outcome<call_answer> AnswerOf(outcome<http_response> response, target_result result) {
+  if (result == target_result::kShed) return error{error_kind::kTargetShed, ""};
+  if (auto* failure = std::get_if<error>(&response)) return *failure;
+  auto& received = std::get<http_response>(response);
+  return call_answer{received.status, std::move(received.headers), std::move(received.body)};
+}
+
+}  // namespace
+
+class target_executor::execution_handle : public execution {
+ public:
+  execution_handle(target_executor& owner, uint64_t call_id) : owner_(owner), call_id_(call_id) {}
+
+  void Cancel() override { owner_.Cancel(call_id_); }
+
+ private:
+  target_executor& owner_;
+  const uint64_t call_id_;
+};
+
+target_executor::target_executor(const executor_ports& ports, std::string daemon_id,
+                                 admission_controller admission)
+    : ports_(ports), admission_(std::move(admission)), suspects_(std::move(daemon_id)) {}
+
+announce_result target_executor::Announce(const target_announcement& announced) {
+  deferred_work work;
+  announce_result processed = announce_result::kOutdated;
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = ports_.clock.Now();
+    processed = lease_.Announce(announced, now);
+    if (processed == announce_result::kReplaced) HandleTargetLoss(now);
+    if (processed == announce_result::kReplaced || processed == announce_result::kJoined) {
+      LOG(INFO) << "membership: target of service " << announced.service << " at "
+                << announced.address << " has joined with incarnation " << announced.incarnation
+                << ".";
+      admission_.ResetForColdTarget(now);
+    }
+    ApplySlots(now);
+    PollAdmission(work);
+  }
+  RunDeferred(std::move(work));
+  return processed;
+}
+
+void target_executor::SetSuspects(absl::Span<const std::string> fingerprints) {
+  absl::MutexLock lock(&mutex_);
+  suspects_.SetSuspects(fingerprints, ports_.clock.Now());
+}
+
+void target_executor::ApplySlots(absl::Time now) {
+  const auto current = lease_.Current(now);
+  uint32_t slots = current ? current->slots : 0;
+  if (max_concurrency_ != 0) slots = std::min(slots, max_concurrency_);
+  if (slots == applied_slots_) return;
+  applied_slots_ = slots;
+  admission_.SetSlots(slots, now);
+}
+
+void target_executor::SetMaxConcurrency(uint32_t max_concurrency) {
+  absl::MutexLock lock(&mutex_);
+  max_concurrency_ = max_concurrency;
+  ApplySlots(ports_.clock.Now());
+}
+
+// Returns why a call cannot be taken, or kInternal when it can.
+error_kind target_executor::RefusalOf(const call& request, absl::Time now) {
+  const auto target = lease_.Current(now);
+  if (!target || target->service != request.service) return error_kind::kTargetUnreachable;
+  if (target->draining) return error_kind::kDraining;
+  if (ports_.quarantine.Contains(request.fingerprint)) return error_kind::kQuarantined;
+  return error_kind::kInternal;
+}
+
+std::shared_ptr<execution> target_executor::Execute(call request, completion done) {
+  auto added = std::make_shared<task>();
+  deferred_work work;
+  uint64_t call_id = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = ports_.clock.Now();
+    call_id = ++next_call_id_;
+    added->arrived_at = now;
+    added->deadline = now + request.time_left;
+    added->request = std::move(request);
+    added->done = std::move(done);
+    tasks_[call_id] = added;
+    const error_kind refusal = RefusalOf(added->request, now);
+    if (refusal != error_kind::kInternal) {
+      tasks_.erase(call_id);
+      work.refusals.emplace_back(added, refusal);
+    } else {
+      const call& taken = added->request;
+      Apply(admission_.Arrive({.call_id = call_id,
+                               .priority = taken.priority,
+                               .cohort = taken.cohort,
+                               .depth = taken.depth,
+                               .client_account = taken.client_account,
+                               .bytes = taken.body.size() + kCallOverheadBytes,
+                               .deadline = added->deadline},
+                              now),
+            work);
+      PollAdmission(work);
+    }
+  }
+  RunDeferred(std::move(work));
+  return std::make_shared<execution_handle>(*this, call_id);
+}
+
+void target_executor::Apply(const admission_decision& decision, deferred_work& work) {
+  const auto found = tasks_.find(decision.call_id);
+  if (found == tasks_.end()) return;
+  if (decision.verdict == admission_verdict::kQueued) return;
+  if (decision.verdict == admission_verdict::kStart) {
+    work.starts.push_back(decision.call_id);
+    return;
+  }
+  work.refusals.emplace_back(found->second, decision.reason);
+  tasks_.erase(found);
+}
+
+void target_executor::PollAdmission(deferred_work& work) {
+  for (const admission_decision& decision : admission_.Poll(ports_.clock.Now())) {
+    Apply(decision, work);
+  }
+  ArmPollTimer();
+}
+
+void target_executor::ArmPollTimer() {
+  const absl::Time next = admission_.NextPoll(ports_.clock.Now());
+  if (next == absl::InfiniteFuture() || next >= poll_armed_for_) return;
+  poll_armed_for_ = next;
+  ports_.timers.RunAt(next, [this] {
+    deferred_work work;
+    {
+      absl::MutexLock lock(&mutex_);
+      poll_armed_for_ = absl::InfiniteFuture();
+      ApplySlots(ports_.clock.Now());
+      PollAdmission(work);
+    }
+    RunDeferred(std::move(work));
+  });
+}
+
+void target_executor::RunDeferred(deferred_work work) {
+  for (auto& [refused, reason] : work.refusals) {
+    LOG(INFO) << "admission: request " << refused->request.request_id << " of priority "
+              << PriorityName(refused->request.priority)
+              << " is refused: " << AnswerFor(reason).name << ".";
+    Deliver(*refused, error{reason, ""}, absl::ZeroDuration());
+  }
+  for (const uint64_t call_id : work.starts) StartCall(call_id);
+}
+
+void target_executor::StartCall(uint64_t call_id) {
+  std::shared_ptr<task> started;
+  std::string address;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto found = tasks_.find(call_id);
+    if (found == tasks_.end()) return;
+    started = found->second;
+    const absl::Time now = ports_.clock.Now();
+    started->started = true;
+    started->started_at = now;
+    if (const auto target = lease_.Current(now)) address = target->address;
+    suspects_.Started(started->request.fingerprint, now);
+  }
+  started->running = std::make_shared<running_call>(started->request, started->deadline);
+  started->token = ports_.contexts.Add(started->running);
+  LOG(INFO) << "admission: request " << started->request.request_id << " of priority "
+            << PriorityName(started->request.priority) << " is started at the target after "
+            << absl::FormatDuration(started->started_at - started->arrived_at) << " in the queue.";
+  const absl::Duration time_left = started->deadline - started->started_at;
+  const uint64_t http_id = ports_.client.Send(
+      address, RequestForTarget(started->request, started->token, time_left),
+      !started->request.idempotent, time_left,
+      [this, call_id](outcome<http_response> response) {
+        OnResponse(call_id, std::move(response));
+      });
+  bool cancelled = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    started->http_id = http_id;
+    cancelled = started->cancelled;
+  }
+  if (cancelled) ports_.client.Cancel(http_id);
+}
+
+void target_executor::OnResponse(uint64_t call_id, outcome<http_response> response) {
+  std::shared_ptr<task> finished;
+  deferred_work work;
+  const target_result result = ResultOf(response);
+  absl::Time now;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto found = tasks_.find(call_id);
+    if (found == tasks_.end()) return;
+    finished = found->second;
+    tasks_.erase(found);
+    now = ports_.clock.Now();
+    admission_.Finish(call_id, result, now - finished->started_at, now);
+    suspects_.Finished(finished->request.fingerprint, result == target_result::kAnswered, now);
+    const auto* failure = std::get_if<error>(&response);
+    if (failure != nullptr && failure->kind == error_kind::kTargetUnreachable) {
+      HandleTargetLoss(now);
+    }
+    PollAdmission(work);
+  }
+  const absl::Duration service_time = now - finished->started_at;
+  Deliver(*finished, AnswerOf(std::move(response), result), service_time);
+  RunDeferred(std::move(work));
+}
+
+void target_executor::HandleTargetLoss(absl::Time now) {
+  for (crash_report& report : suspects_.TargetLost(now)) {
+    LOG(WARNING) << "quarantine: the target was lost while it ran the request with fingerprint "
+                 << report.fingerprint << ".";
+    crash_reports_.push_back(std::move(report));
+  }
+}
+
+void target_executor::Cancel(uint64_t call_id) {
+  std::shared_ptr<task> cancelled;
+  deferred_work work;
+  uint64_t http_id = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto found = tasks_.find(call_id);
+    if (found == tasks_.end()) return;
+    cancelled = found->second;
+    cancelled->cancelled = true;
+    if (cancelled->started) {
+      http_id = cancelled->http_id;
+    } else {
+      admission_.Cancel(call_id, ports_.clock.Now());
+      tasks_.erase(found);
+      PollAdmission(work);
+    }
+  }
+  if (cancelled->started) {
+    if (http_id != 0) ports_.client.Cancel(http_id);
+  } else {
+    Deliver(*cancelled, error{error_kind::kCancelled, ""}, absl::ZeroDuration());
+  }
+  RunDeferred(std::move(work));
+}
+
+overload_level target_executor::LevelNow() {
+  absl::MutexLock lock(&mutex_);
+  return admission_.Level(ports_.clock.Now());
+}
+
+void target_executor::Deliver(task& finished, outcome<call_answer> answer,
+                              absl::Duration service_time) {
+  execute_result delivered;
+  delivered.unused_attempts = finished.request.attempt_budget;
+  bool made_child_calls = false;
+  if (finished.running != nullptr) {
+    ports_.contexts.Remove(finished.token);
+    made_child_calls = finished.running->MadeChildCalls();
+    delivered.unused_attempts = finished.running->End();
+  }
+  if (const auto* received = std::get_if<call_answer>(&answer)) {
+    // A server error after child calls is often their failure, and says nothing about the target.
+    delivered.target_failed = received->status >= kServerErrorStatus && !made_child_calls;
+  }
+  delivered.answer = std::move(answer);
+  delivered.level = LevelNow();
+  delivered.service_time = service_time;
+  finished.done(std::move(delivered));
+}
+
+absl::optional<target_announcement> target_executor::Target() {
+  absl::MutexLock lock(&mutex_);
+  return lease_.Current(ports_.clock.Now());
+}
+
+std::vector<crash_report> target_executor::TakeCrashReports() {
+  absl::MutexLock lock(&mutex_);
+  std::vector<crash_report> reports = std::exchange(crash_reports_, {});
+  for (crash_report& completed : suspects_.TakeCompleted()) {
+    reports.push_back(std::move(completed));
+  }
+  return reports;
+}
+
+executor_status target_executor::Status() {
+  absl::MutexLock lock(&mutex_);
+  return {admission_.InFlight(), admission_.Queued(), admission_.Limit()};
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/gateway/pending_work.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace teaseljunction {
+
+/// Counts work that a planned shutdown has to wait for. Thread-safe.
+class pending_work {
+ public:
+  void Begin() {
+    absl::MutexLock lock(&mutex_);
+    ++count_;
+  }
+
+  void End() {
+    absl::MutexLock lock(&mutex_);
+    --count_;
+  }
+
+  uint64_t Count() const {
+    absl::MutexLock lock(&mutex_);
+    return count_;
+  }
+
+  /// Waits until nothing is pending. Returns false when that takes longer than `timeout`.
+  bool WaitUntilIdle(absl::Duration timeout) {
+    absl::MutexLock lock(&mutex_);
+    return mutex_.AwaitWithTimeout(
+        absl::Condition(+[](uint64_t* count) { return *count == 0; }, &count_), timeout);
+  }
+
+ private:
+  mutable absl::Mutex mutex_;
+  uint64_t count_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+}  // namespace teaseljunction
--- a/src/rpc/types.h
+++ b/src/rpc/types.h
@@ -22,6 +22,8 @@
   uint32_t unused_attempts = 0;
   /// Detail for the entry daemon's latency estimate: time spent in the target's daemon and target.
   absl::Duration service_time;
+  /// True when the answer is a server error that is the target's own fault.
+  bool target_failed = false;
 };
 
 /// A daemon's periodic message to the leader.
@@ -49,6 +51,8 @@
   std::vector<token_grant> grants;
   /// Fingerprints after the first `quarantine_size` of the request.
   std::vector<std::string> quarantined;
+  /// Fingerprints that were in flight in a crash; daemons report their completion.
+  std::vector<std::string> suspects;
 };
 
 /// The answer to `propose`.
