--- a/src/control/types.h
+++ b/src/control/types.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "common/error_kind.h"
@@ -92,6 +94,61 @@
   std::string content;
 };
 
+/// `kLearner` receives the log without voting, or waits until it is added to a group. `kFailed`
+/// has stopped because of its storage and needs a replacement.
 enum class member_role : uint8_t { kFollower, kCandidate, kLeader, kLearner, kFailed };
 
+/// One member of the control group.
+struct group_member {
+  uint64_t member_id = 0;
+  /// RPC address, "IP:port".
+  std::string address;
+  std::string data_centre;
+  /// False for learners.
+  bool voter = false;
+  bool operator==(const group_member&) const = default;
+};
+
+/// The members of the control group, ordered by id.
+using group_configuration = std::vector<group_member>;
+
+enum class record_kind : uint8_t { kEmpty, kCommand, kConfiguration };
+
+/// One record of the replicated log.
+struct log_record {
+  uint64_t index = 0;
+  uint64_t term = 0;
+  /// Replicated time: the time elapsed under all leaders so far, counted from the Unix epoch. It
+  /// never goes back from one record to the next.
+  absl::Time time = absl::UnixEpoch();
+  record_kind kind = record_kind::kEmpty;
+  /// The encoded command of a `kCommand` record.
+  std::string data;
+  /// The whole new configuration of a `kConfiguration` record.
+  group_configuration configuration;
+};
+
+/// What a member must have on disk before it sends a message that depends on it.
+struct hard_state {
+  uint64_t member_id = 0;
+  /// Identifies the group. 0 as long as the member belongs to none.
+  uint64_t group_id = 0;
+  uint64_t term = 0;
+  /// The member that got this member's vote in `term`, or 0.
+  uint64_t vote = 0;
+  /// The initial voters that this member has agreed to, empty before. It never changes once set.
+  group_configuration initial_voters;
+  bool operator==(const hard_state&) const = default;
+};
+
+/// The state after all records up to `index`.
+struct log_snapshot {
+  uint64_t index = 0;
+  uint64_t term = 0;
+  absl::Time time = absl::UnixEpoch();
+  group_configuration configuration;
+  /// The encoded replicated state. Shared, since it may be large.
+  std::shared_ptr<const std::string> data;
+};
+
 }  // namespace teaseljunction
