--- a/src/shares/types.h
+++ b/src/shares/types.h
@@ -20,6 +20,11 @@
 struct token_demand {
   std::string client_account;
   uint32_t tokens = 0;
+  /// The part of `tokens` that is for calls that already wait.
+  uint32_t waiting = 0;
+  /// Number of requests in a row that granted this daemon no token. The owner serves the daemon
+  /// with the highest number first when tokens are scarce.
+  uint32_t missed = 0;
 };
 
 /// Tokens that the owner has debited for one daemon.
@@ -31,6 +36,9 @@
   /// Time until the owner expects to have tokens again, for Retry-After. Zero when tokens were
   /// granted.
   absl::Duration retry_after;
+  /// True while the account uses most of its rate. Daemons then request no reserve, because unused
+  /// tokens expire.
+  bool scarce = false;
 };
 
 }  // namespace teaseljunction
