--- /dev/null
+++ b/src/balancer/retry_policy.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "balancer/retry_budget.h"
+#include "common/error_kind.h"
+#include "common/random_source.h"
+
+namespace teaseljunction {
+
+/// Attempts of one call at one hop, the first one included.
+constexpr uint32_t kMaxAttemptsPerHop = 3;
+
+/// A failed attempt, as the layer directly above it sees it.
+struct failed_attempt {
+  absl::string_view service;
+  error_kind kind = error_kind::kInternal;
+  bool idempotent = false;
+  /// True when the call was registered for execution at most once.
+  bool has_claim = false;
+  /// Attempts made at this hop, this one included; at least 1.
+  uint32_t attempts_made = 1;
+  /// Attempts at this hop that ended with `kTargetCrashed`, this one included.
+  uint32_t crashes = 0;
+  /// Time until the deadline of the call.
+  absl::Duration time_left;
+};
+
+/// Decides whether a call is tried again. Returns the delay before the next attempt, or nothing
+/// when the call ends with this failure. Takes from `budget` only when it returns a delay. A call
+/// that is not idempotent, or has a claim, is retried only when the attempt certainly has not run.
+/// A call that was in flight on a crashed target runs at most once more.
+absl::optional<absl::Duration> DecideRetry(const failed_attempt& attempt, retry_budget& budget,
+                                           random_source& random, absl::Time now);
+
+/// Returns the Retry-After value for a caller in seconds: a random number between `estimate` and
+/// twice the estimate, so that refused callers do not return at the same time. At least 1.
+uint32_t RetryAfterSeconds(absl::Duration estimate, random_source& random);
+
+}  // namespace teaseljunction
--- a/src/membership/types.h
+++ b/src/membership/types.h
@@ -37,6 +37,7 @@
   bool draining = false;
   /// Version of the manifest that the daemon has in force, for the operators' view.
   uint64_t manifest_version = 0;
+  bool operator==(const daemon_announcement&) const = default;
 };
 
 /// One entry of the directory of daemons.
@@ -53,6 +54,9 @@
   uint64_t version = 0;
   /// True when `entries` replaces all that the daemon knows.
   bool whole = false;
+  /// False during the first lease of a leader's term, when daemons that are alive may be missing.
+  /// Daemons known from the previous leader are then kept.
+  bool settled = false;
   std::vector<directory_entry> entries;
 };
 
