--- /dev/null
+++ b/src/rpc/rpc_server.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "common/result.h"
+#include "rpc/node_service.h"
+
+namespace teaseljunction {
+
+/// Settings of an `rpc_server`.
+struct rpc_server_settings {
+  /// "IP:port"; port 0 takes a free one.
+  std::string address;
+  unsigned threads = 2;
+  /// Bound of one message. A larger one ends its connection.
+  size_t max_message_bytes = size_t{16} << 20;
+  /// Bound of open connections per thread. Further ones are closed at once.
+  unsigned max_connections = 4096;
+};
+
+/// Cap'n Proto RPC server of a daemon. Each thread runs one KJ event loop with its own listening
+/// socket on the same port.
+class rpc_server {
+ public:
+  /// Stops like `Stop`.
+  ~rpc_server();
+  rpc_server(const rpc_server&) = delete;
+  rpc_server& operator=(const rpc_server&) = delete;
+
+  /// Starts to accept connections and returns the bound port.
+  /// Errors: kSettingInvalid when the address cannot be parsed or bound, kInternal.
+  result<uint16_t> Start();
+
+  /// Planned stop: accepts no new connection and waits until every running call has been answered.
+  /// Returns false when calls were still running after `timeout`. The server is stopped in both
+  /// cases.
+  bool Drain(absl::Duration timeout);
+
+  /// Stops at once: closes all connections and cancels running calls. Completions that run later
+  /// are ignored.
+  void Stop();
+
+ private:
+  friend class rpc_server_builder;
+  class impl;
+  explicit rpc_server(std::unique_ptr<impl> state);
+
+  std::unique_ptr<impl> impl_;
+};
+
+/// Builds an `rpc_server`.
+class rpc_server_builder {
+ public:
+  rpc_server_builder& Address(absl::string_view address);
+  rpc_server_builder& Threads(unsigned threads);
+  rpc_server_builder& MaxMessageBytes(size_t bytes);
+  rpc_server_builder& MaxConnections(unsigned connections);
+  /// The service must outlive the server.
+  rpc_server_builder& Service(node_service* service);
+
+  std::unique_ptr<rpc_server> Build() const;
+
+ private:
+  rpc_server_settings settings_;
+  node_service* service_ = nullptr;
+};
+
+}  // namespace teaseljunction
