--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -100,18 +100,17 @@
   executor_ = std::make_unique<target_executor>(
       executor_ports{clock_, timers_, contexts_, *client_, quarantine_}, settings_.daemon_id,
       admission_controller_builder().Build());
-  sync_ = std::make_unique<sync_loop>(
-      sync_ports{clock_, timers_, *peers_, locator_, config_, accounts_, targets_, *executor_,
-                 quarantine_},
-      settings_, NewIncarnation());
+  sync_ = std::make_unique<sync_loop>(sync_ports{clock_, timers_, *peers_, locator_, config_,
+                                                 accounts_, targets_, *executor_, quarantine_},
+                                      settings_, NewIncarnation());
   sync_->OnManifest([this](const manifest_index& manifest) {
     const auto target = executor_->Target();
     const service* own = target ? manifest.FindService(target->service) : nullptr;
     executor_->SetMaxConcurrency(own == nullptr ? 0 : own->max_concurrency);
   });
-  entry_ports_ = std::make_unique<entry_ports>(
-      entry_ports{clock_, random_, timers_, accounts_, targets_, *control_, *peers_, quarantine_,
-                  metrics_, pending_});
+  entry_ports_ = std::make_unique<entry_ports>(entry_ports{clock_, random_, timers_, accounts_,
+                                                           targets_, *control_, *peers_,
+                                                           quarantine_, metrics_, pending_});
   target_endpoint_ = std::make_unique<target_endpoint>(*executor_);
   entry_ = std::make_unique<entry_service>(*entry_ports_, config_, contexts_, *target_endpoint_);
 }
@@ -171,8 +170,7 @@
 
 result<void> daemon_process_impl::Start() {
   BOOST_LEAF_CHECK(StartControl());
-  node_ = std::make_unique<node>(clock_, *executor_, config_, *sync_, member_.get(),
-                                 leader_.get());
+  node_ = std::make_unique<node>(clock_, *executor_, config_, *sync_, member_.get(), leader_.get());
   operators_ = std::make_unique<operator_handler>(clock_, *node_, *control_, metrics_,
                                                   [this] { RequestStop(); });
   BOOST_LEAF_CHECK(StartServers());
--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -86,8 +86,7 @@
   return grants;
 }
 
-std::vector<std::string> leader_service::TrackCrashes(const sync_request& request,
-                                                      absl::Time now) {
+std::vector<std::string> leader_service::TrackCrashes(const sync_request& request, absl::Time now) {
   std::vector<std::string> quarantined;
   std::vector<std::string> suspects;
   {
--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -79,17 +79,13 @@
 }
 
 json StatusJson(const status_report& report) {
-  json document = {{"daemonId", report.daemon.daemon_id},
-                   {"address", report.daemon.address},
-                   {"dataCentre", report.daemon.data_centre},
-                   {"manifestVersion", report.manifest_version},
-                   {"manifestDigest", report.manifest_digest},
-                   {"fresh", report.fresh},
-                   {"callsRunning", report.calls_running},
-                   {"callsQueued", report.calls_queued},
-                   {"concurrencyLimit", report.concurrency_limit},
-                   {"draining", report.daemon.draining},
-                   {"directory", DirectoryJson(report.directory)}};
+  json document = {
+      {"daemonId", report.daemon.daemon_id},          {"address", report.daemon.address},
+      {"dataCentre", report.daemon.data_centre},      {"manifestVersion", report.manifest_version},
+      {"manifestDigest", report.manifest_digest},     {"fresh", report.fresh},
+      {"callsRunning", report.calls_running},         {"callsQueued", report.calls_queued},
+      {"concurrencyLimit", report.concurrency_limit}, {"draining", report.daemon.draining},
+      {"directory", DirectoryJson(report.directory)}};
   if (report.daemon.target) document["target"] = TargetJson(*report.daemon.target);
   if (report.control) document["control"] = ControlJson(report);
   return document;
@@ -159,19 +155,19 @@
 
 void operator_handler::Propose(command proposal, exchange_pointer exchange,
                                absl::AnyInvocable<std::string(const command_result&)> describe) {
-  control_.Propose(std::move(proposal), clock_.Now() + kProposeTimeout,
-                   [exchange = std::move(exchange), describe = std::move(describe)](
-                       const outcome<command_result>& decided) mutable {
-                     const auto* done = std::get_if<command_result>(&decided);
-                     if (done == nullptr) {
-                       exchange->Respond(ProblemResponse(std::get<error>(decided), ""));
-                     } else if (!done->applied) {
-                       exchange->Respond(ProblemResponse(done->failure, ""));
-                     } else {
-                       exchange->Respond(
-                           {kOk, {{"Content-Type", "application/json"}}, describe(*done)});
-                     }
-                   });
+  control_.Propose(
+      std::move(proposal), clock_.Now() + kProposeTimeout,
+      [exchange = std::move(exchange),
+       describe = std::move(describe)](const outcome<command_result>& decided) mutable {
+        const auto* done = std::get_if<command_result>(&decided);
+        if (done == nullptr) {
+          exchange->Respond(ProblemResponse(std::get<error>(decided), ""));
+        } else if (!done->applied) {
+          exchange->Respond(ProblemResponse(done->failure, ""));
+        } else {
+          exchange->Respond({kOk, {{"Content-Type", "application/json"}}, describe(*done)});
+        }
+      });
 }
 
 void operator_handler::PostManifest(const http_request& request, exchange_pointer exchange) {
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -48,10 +48,10 @@
 constexpr size_t kMaxNameBytes = 64;
 // Flags that can also be set by the environment.
 constexpr absl::string_view kFlagNames[] = {
-    "listen",       "operators_listen", "rpc_listen",   "data_centre",    "daemon_id",
-    "control",      "data_dir",         "control_peers", "freshness_lease", "token_wait",
-    "drain_delay",  "drain_timeout",    "http_threads", "rpc_threads",    "client_threads",
-    "max_body_bytes", "log_file",       "log_level"};
+    "listen",         "operators_listen", "rpc_listen",    "data_centre",     "daemon_id",
+    "control",        "data_dir",         "control_peers", "freshness_lease", "token_wait",
+    "drain_delay",    "drain_timeout",    "http_threads",  "rpc_threads",     "client_threads",
+    "max_body_bytes", "log_file",         "log_level"};
 
 result<void> ApplyEnvironment() {
   for (const absl::string_view name : kFlagNames) {
@@ -81,7 +81,8 @@
 }
 
 result<void> CheckAddresses(const daemon_settings& settings) {
-  constexpr absl::string_view kReason = "must be an IPv4 address and a port, such as 10.0.0.1:8080.";
+  constexpr absl::string_view kReason =
+      "must be an IPv4 address and a port, such as 10.0.0.1:8080.";
   BOOST_LEAF_CHECK(Require(IsAddress(settings.listen), "listen", kReason));
   BOOST_LEAF_CHECK(Require(IsAddress(settings.operators_listen), "operators_listen", kReason));
   BOOST_LEAF_CHECK(Require(IsAddress(settings.rpc_listen), "rpc_listen", kReason));
@@ -125,8 +126,8 @@
       CheckDuration(settings.token_wait, absl::ZeroDuration(), absl::Seconds(5), "token_wait"));
   BOOST_LEAF_CHECK(
       CheckDuration(settings.drain_delay, absl::ZeroDuration(), absl::Seconds(60), "drain_delay"));
-  BOOST_LEAF_CHECK(CheckDuration(settings.drain_timeout, absl::Seconds(1), absl::Seconds(600),
-                                 "drain_timeout"));
+  BOOST_LEAF_CHECK(
+      CheckDuration(settings.drain_timeout, absl::Seconds(1), absl::Seconds(600), "drain_timeout"));
   BOOST_LEAF_CHECK(CheckThreads(settings.http_threads, "http_threads"));
   BOOST_LEAF_CHECK(CheckThreads(settings.rpc_threads, "rpc_threads"));
   BOOST_LEAF_CHECK(CheckThreads(settings.client_threads, "client_threads"));
--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -42,8 +42,7 @@
 
 }  // namespace
 
-sync_loop::sync_loop(const sync_ports& ports, const daemon_settings& settings,
-                     uint64_t incarnation)
+sync_loop::sync_loop(const sync_ports& ports, const daemon_settings& settings, uint64_t incarnation)
     : ports_(ports), settings_(settings), incarnation_(incarnation) {}
 
 void sync_loop::OnManifest(absl::AnyInvocable<void(const manifest_index&)> callback) {
@@ -172,8 +171,7 @@
                << " cannot be decoded: " << failure->detail;
     return false;
   }
-  const auto index =
-      std::make_shared<const manifest_index>(std::get<manifest>(std::move(decoded)));
+  const auto index = std::make_shared<const manifest_index>(std::get<manifest>(std::move(decoded)));
   ports_.accounts.SetAccounts(RatesOf(index->Manifest()));
   for (const service& listed : index->Manifest().services) {
     ports_.targets.SetRetryRatio(listed.name, listed.retry_ratio);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -16,8 +16,8 @@
 class node : public node_service {
  public:
   /// `member` and `leader` are null on daemons outside the control group.
-  node(const clock_source& clock, target_executor& executor, configuration& config,
-       sync_loop& sync, control_member* member, leader_service* leader);
+  node(const clock_source& clock, target_executor& executor, configuration& config, sync_loop& sync,
+       control_member* member, leader_service* leader);
 
   std::shared_ptr<execution> Execute(call request,
                                      absl::AnyInvocable<void(execute_result)> completion) override;
--- a/src/daemon/operator_handler.h
+++ b/src/daemon/operator_handler.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "absl/functional/any_invocable.h"
+#include "common/clock_source.h"
 #include "gateway/call_metrics.h"
 #include "gateway/control_client.h"
 #include "http/http_handler.h"
--- a/src/daemon/sync_loop.h
+++ b/src/daemon/sync_loop.h
@@ -62,8 +62,7 @@
   void ScheduleAt(absl::Time when) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Send();
   sync_request BuildRequest();
-  void OnResponse(const std::string& address, absl::Time sent_at,
-                  outcome<sync_response> response);
+  void OnResponse(const std::string& address, absl::Time sent_at, outcome<sync_response> response);
   void Apply(const sync_response& response, uint64_t known_quarantine, absl::Time sent_at);
   bool ApplyManifest(const manifest_record& record);
   void ApplyDirectory(const directory_update& update);
--- a/src/gateway/account_limiter.h
+++ b/src/gateway/account_limiter.h
@@ -25,7 +25,8 @@
 };
 
 /// Limits the rate of client accounts with the tokens that the leader granted. A request that finds
-/// no token waits for the next grant, up to `max_wait`. Thread-safe; accounts are spread over shards.
+/// no token waits for the next grant, up to `max_wait`. Thread-safe; accounts are spread over
+/// shards.
 class account_limiter {
  public:
   using completion = absl::AnyInvocable<void(token_result)>;
--- a/src/gateway/call_context.h
+++ b/src/gateway/call_context.h
@@ -76,8 +76,9 @@
   std::vector<absl::AnyInvocable<void()>> child_cancels_ ABSL_GUARDED_BY(mutex_);
 };
 
-/// Finds running calls by the token in the context header. Tokens are 128 random bits that are valid
-/// only in this process and only while their call runs, so a target cannot forge one. Thread-safe.
+/// Finds running calls by the token in the context header. Tokens are 128 random bits that are
+/// valid only in this process and only while their call runs, so a target cannot forge one.
+/// Thread-safe.
 class call_context_table {
  public:
   explicit call_context_table(random_source& random) : random_(random) {}
--- a/src/gateway/call_metrics.h
+++ b/src/gateway/call_metrics.h
@@ -12,8 +12,8 @@
 
 namespace teaseljunction {
 
-/// Counters and latency histograms of the calls of one daemon. Thread-safe; each thread writes to one
-/// of several shards, and a report merges them.
+/// Counters and latency histograms of the calls of one daemon. Thread-safe; each thread writes to
+/// one of several shards, and a report merges them.
 class call_metrics {
  public:
   call_metrics();
--- a/src/gateway/call_resolver.h
+++ b/src/gateway/call_resolver.h
@@ -15,8 +15,8 @@
 inline constexpr absl::string_view kContextHeader = "Teaseljunction-Context";
 /// Header with the id of the entry request.
 inline constexpr absl::string_view kRequestIdHeader = "Teaseljunction-Request-Id";
-/// Header with the time left until the deadline, in milliseconds. Callers may send it to shorten the
-/// timeout of the route.
+/// Header with the time left until the deadline, in milliseconds. Callers may send it to shorten
+/// the timeout of the route.
 inline constexpr absl::string_view kDeadlineHeader = "Teaseljunction-Deadline-Ms";
 /// Header that tells a target the client account.
 inline constexpr absl::string_view kClientAccountHeader = "Teaseljunction-Client-Account";
@@ -41,12 +41,12 @@
 };
 
 /// Finds the route and the client account of a request and removes what a target must not see.
-/// `request_id` is used for entry requests; child calls keep that of their parent. The attempt budget
-/// of `request` is that of the route; for child calls the caller of this function replaces it.
-/// Errors: kMalformedRequest, kKeyMissing, kKeyUnknown, kContextUnknown, kRouteUnknown,
+/// `request_id` is used for entry requests; child calls keep that of their parent. The attempt
+/// budget of `request` is that of the route; for child calls the caller of this function replaces
+/// it. Errors: kMalformedRequest, kKeyMissing, kKeyUnknown, kContextUnknown, kRouteUnknown,
 /// kMethodNotAllowed, kIdentityMissing, kDeadlineTooShort.
-result<resolved_call> ResolveCall(const manifest_index& manifest, const call_context_table& contexts,
-                                  const http_request& received, absl::string_view request_id,
-                                  absl::Time now);
+result<resolved_call> ResolveCall(const manifest_index& manifest,
+                                  const call_context_table& contexts, const http_request& received,
+                                  absl::string_view request_id, absl::Time now);
 
 }  // namespace teaseljunction
--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -35,8 +35,9 @@
 };
 
 /// One request of a caller or a child call of the local target, from its resolution to its answer:
-/// token of the client account, claim, choice of a target, attempts, answer. The steps run one after
-/// the other on whichever thread finishes the step before. Keeps itself alive until it has answered.
+/// token of the client account, claim, choice of a target, attempts, answer. The steps run one
+/// after the other on whichever thread finishes the step before. Keeps itself alive until it has
+/// answered.
 class entry_call : public std::enable_shared_from_this<entry_call> {
  public:
   entry_call(const entry_ports& ports, resolved_call resolved,
--- a/src/gateway/internal/account_limiter.cc
+++ b/src/gateway/internal/account_limiter.cc
@@ -9,10 +9,7 @@
 
 account_limiter::account_limiter(const clock_source& clock, scheduler& timers,
                                  absl::Duration max_wait, absl::AnyInvocable<void()> request_sync)
-    : clock_(clock),
-      timers_(timers),
-      max_wait_(max_wait),
-      request_sync_(std::move(request_sync)) {}
+    : clock_(clock), timers_(timers), max_wait_(max_wait), request_sync_(std::move(request_sync)) {}
 
 account_limiter::shard& account_limiter::ShardOf(absl::string_view client_account) {
   return shards_[absl::HashOf(client_account) % kShardCount];
--- a/src/gateway/internal/call_metrics.cc
+++ b/src/gateway/internal/call_metrics.cc
@@ -17,10 +17,9 @@
 
 template <class Histogram>
 Histogram MakeLatencyHistogram() {
-  return bh::make_histogram(
-      bh::axis::integer<>(0, kPriorityCount),
-      bh::axis::regular<double, bh::axis::transform::log>(kLatencyBins, kLowestSeconds,
-                                                          kHighestSeconds));
+  return bh::make_histogram(bh::axis::integer<>(0, kPriorityCount),
+                            bh::axis::regular<double, bh::axis::transform::log>(
+                                kLatencyBins, kLowestSeconds, kHighestSeconds));
 }
 
 // Appends one histogram of all priorities with cumulative buckets.
@@ -29,8 +28,8 @@
   absl::StrAppend(out, "# TYPE ", name, " histogram\n");
   const auto& axis = histogram.axis(1);
   for (int priority = 0; priority < kPriorityCount; ++priority) {
-    const std::string label = absl::StrCat(
-        "priority=\"", PriorityName(static_cast<request_priority>(priority)), "\"");
+    const std::string label =
+        absl::StrCat("priority=\"", PriorityName(static_cast<request_priority>(priority)), "\"");
     double total = histogram.at(priority, -1);
     for (int bin = 0; bin < axis.size(); ++bin) {
       const double count = histogram.at(priority, bin);
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -20,10 +20,19 @@
 constexpr absl::string_view kOwnHeaderPrefix = "Teaseljunction-";
 
 // Headers that carry keys or belong to one connection (RFC 9110, section 7.6.1).
-constexpr std::array<absl::string_view, 13> kRemovedHeaders = {
-    "Authorization", "Proxy-Authorization", "X-Api-Key", "Connection", "Keep-Alive",
-    "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Host", "Content-Length",
-    "Expect"};
+constexpr std::array<absl::string_view, 13> kRemovedHeaders = {"Authorization",
+                                                               "Proxy-Authorization",
+                                                               "X-Api-Key",
+                                                               "Connection",
+                                                               "Keep-Alive",
+                                                               "Proxy-Connection",
+                                                               "TE",
+                                                               "Trailer",
+                                                               "Transfer-Encoding",
+                                                               "Upgrade",
+                                                               "Host",
+                                                               "Content-Length",
+                                                               "Expect"};
 
 absl::string_view KeyOf(const http_request& received) {
   if (const auto header = FindHeader(received.headers, kAuthorizationHeader)) {
@@ -99,9 +108,8 @@
   const auto key = FindHeader(received.headers, kIdempotencyKeyHeader);
   if (key && !key->empty()) {
     if (key->size() > kMaxIdempotencyKeyBytes) {
-      return Fail(error_kind::kMalformedRequest,
-                  absl::StrCat("Idempotency-Key is longer than ", kMaxIdempotencyKeyBytes,
-                               " bytes."));
+      return Fail(error_kind::kMalformedRequest, absl::StrCat("Idempotency-Key is longer than ",
+                                                              kMaxIdempotencyKeyBytes, " bytes."));
     }
     request.identity = absl::StrCat(matched.name, "/key/", *key);
     return {};
@@ -110,8 +118,7 @@
   if (parent == nullptr || parent->Idempotent()) return Fail(error_kind::kIdentityMissing);
   request.identity =
       absl::StrCat(matched.name, "/child/", parent->NextChildOrdinal(), "/", parent->Identity());
-  request.headers.push_back(
-      {std::string(kIdempotencyKeyHeader), Sha256Hex(request.identity)});
+  request.headers.push_back({std::string(kIdempotencyKeyHeader), Sha256Hex(request.identity)});
   return {};
 }
 
@@ -125,15 +132,14 @@
 }
 
 std::string FingerprintOf(const call& request) {
-  return Sha256HexOfFields(
-      {request.client_account, request.method, request.path, request.body});
+  return Sha256HexOfFields({request.client_account, request.method, request.path, request.body});
 }
 
 }  // namespace
 
-result<resolved_call> ResolveCall(const manifest_index& manifest, const call_context_table& contexts,
-                                  const http_request& received, absl::string_view request_id,
-                                  absl::Time now) {
+result<resolved_call> ResolveCall(const manifest_index& manifest,
+                                  const call_context_table& contexts, const http_request& received,
+                                  absl::string_view request_id, absl::Time now) {
   resolved_call resolved;
   BOOST_LEAF_ASSIGN(resolved.parent, FindParent(contexts, received));
   const route_match match = manifest.FindRoute(received.method, PathOf(received));
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -81,8 +81,7 @@
 void entry_call::RegisterClaim() {
   if (!resolved_.needs_claim) return Dispatch();
   const call& request = resolved_.request;
-  const absl::Time deadline =
-      std::min(resolved_.deadline, ports_.clock.Now() + kClaimTimeout);
+  const absl::Time deadline = std::min(resolved_.deadline, ports_.clock.Now() + kClaimTimeout);
   ports_.control.Propose(
       claim{request.client_account, request.identity, request.fingerprint, attempt_id_}, deadline,
       [self = shared_from_this()](outcome<command_result> claimed) { self->OnClaim(claimed); });
@@ -130,10 +129,10 @@
   call request = resolved_.request;
   request.time_left = resolved_.deadline - now;
   request.attempt_budget = attempt_budget_for_target;
-  LOG(INFO) << "routing: request " << request.request_id << " of account "
-            << request.client_account << " for service " << request.service << " is sent to target "
-            << target.daemon_id << " at " << target.address << ", attempt " << attempts_ << ", depth "
-            << request.depth << ".";
+  LOG(INFO) << "routing: request " << request.request_id << " of account " << request.client_account
+            << " for service " << request.service << " is sent to target " << target.daemon_id
+            << " at " << target.address << ", attempt " << attempts_ << ", depth " << request.depth
+            << ".";
   tried_.push_back(target.daemon_id);
   ports_.targets.Started(request.service, target.daemon_id, now);
   const absl::Duration time_left = request.time_left;
@@ -148,7 +147,8 @@
     execute_id_ = id;
     cancel = caller_gone_ && !claim_held_;
   }
-  // The caller may have gone while the attempt was being sent. Ids of finished attempts are ignored.
+  // The caller may have gone while the attempt was being sent. Ids of finished attempts are
+  // ignored.
   if (cancel) ports_.peers.CancelExecute(id);
 }
 
@@ -235,8 +235,7 @@
             << resolved_.request.client_account << " for service " << resolved_.request.service
             << " is refused: " << AnswerFor(reported.kind).name << ".";
   ports_.metrics.RecordError(reported.kind);
-  const uint32_t seconds =
-      RetryAfterSeconds(retry_after.value_or(absl::Seconds(1)), ports_.random);
+  const uint32_t seconds = RetryAfterSeconds(retry_after.value_or(absl::Seconds(1)), ports_.random);
   Finish(ProblemResponse(reported, resolved_.request.request_id, absl::Seconds(seconds)));
 }
 
@@ -260,15 +259,15 @@
 
 void entry_call::ProposeInBackground(command proposal) {
   ports_.pending.Begin();
-  ports_.control.Propose(
-      std::move(proposal), ports_.clock.Now() + kBackgroundProposeTimeout,
-      [self = shared_from_this()](const outcome<command_result>& recorded) {
-        if (recorded.index() != 0) {
-          LOG(WARNING) << "routing: the outcome of request " << self->resolved_.request.request_id
-                       << " could not be recorded.";
-        }
-        self->ports_.pending.End();
-      });
+  ports_.control.Propose(std::move(proposal), ports_.clock.Now() + kBackgroundProposeTimeout,
+                         [self = shared_from_this()](const outcome<command_result>& recorded) {
+                           if (recorded.index() != 0) {
+                             LOG(WARNING)
+                                 << "routing: the outcome of request "
+                                 << self->resolved_.request.request_id << " could not be recorded.";
+                           }
+                           self->ports_.pending.End();
+                         });
 }
 
 }  // namespace teaseljunction
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -214,8 +214,7 @@
   const absl::Duration time_left = started->deadline - started->started_at;
   const uint64_t http_id = ports_.client.Send(
       address, RequestForTarget(started->request, started->token, time_left),
-      !started->request.idempotent, time_left,
-      [this, call_id](outcome<http_response> response) {
+      !started->request.idempotent, time_left, [this, call_id](outcome<http_response> response) {
         OnResponse(call_id, std::move(response));
       });
   bool cancelled = false;
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -28,8 +28,9 @@
   /// Waits until nothing is pending. Returns false when that takes longer than `timeout`.
   bool WaitUntilIdle(absl::Duration timeout) {
     absl::MutexLock lock(&mutex_);
-    return mutex_.AwaitWithTimeout(
-        absl::Condition(+[](uint64_t* count) { return *count == 0; }, &count_), timeout);
+    return mutex_.AwaitWithTimeout(absl::Condition(
+                                       +[](uint64_t* count) { return *count == 0; }, &count_),
+                                   timeout);
   }
 
  private:
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -37,8 +37,8 @@
 };
 
 /// Runs calls at the target beside this daemon: lease of the target, admission, the call itself,
-/// detection of a crash. Every call for the target passes through here. Thread-safe; the state of the
-/// one target is one shard under one lock. No callback runs with the lock held.
+/// detection of a crash. Every call for the target passes through here. Thread-safe; the state of
+/// the one target is one shard under one lock. No callback runs with the lock held.
 class target_executor {
  public:
   using completion = absl::AnyInvocable<void(execute_result)>;
--- a/src/gateway/target_selector.h
+++ b/src/gateway/target_selector.h
@@ -25,8 +25,8 @@
   void SetRetryRatio(absl::string_view service, double ratio);
 
   /// Returns the target of the next attempt, or nothing when the service has none left.
-  absl::optional<target_choice> Choose(const call& request,
-                                       absl::Span<const std::string> excluded, absl::Time now);
+  absl::optional<target_choice> Choose(const call& request, absl::Span<const std::string> excluded,
+                                       absl::Time now);
 
   /// Returns false when the targets of the service currently refuse this request.
   bool Admits(const call& request, absl::Time now);
--- /dev/null
+++ b/src/gateway/tests/entry_call_test.cc
@@ -0,0 +1,173 @@
+#include "gateway/entry_call.h"
+
+#include <catch2/catch.hpp>
+
+#include "gateway/tests/mocks/fake_ports.h"
+#include "gateway/tests/mocks/sample_manifest.h"
+#include "gateway/tests/mocks/virtual_scheduler.h"
+
+namespace teaseljunction {
+namespace {
+
+// Entry daemon with four targets of each service and no real input or output.
+struct entry_fixture {
+  virtual_scheduler time;
+  seeded_random_source random{7};
+  account_limiter accounts{time, time, absl::Milliseconds(300), [] {}};
+  target_selector targets{"entry", "dc1", random};
+  fake_control_client control;
+  fake_peer_client peers;
+  quarantine_registry quarantine;
+  call_metrics metrics;
+  pending_work pending;
+  call_context_table contexts{random};
+  std::shared_ptr<const manifest_index> manifest = SampleManifest();
+  entry_ports ports{time,    random, time,       accounts, targets,
+                    control, peers,  quarantine, metrics,  pending};
+  uint64_t next_request = 0;
+
+  entry_fixture() {
+    accounts.SetAccounts(std::vector<account_rate>{{"builder", 1000, 1000}});
+    std::vector<balancer_target> list;
+    for (const char* service : {"stock", "orders"}) {
+      for (int i = 0; i < 4; ++i) {
+        const std::string id = std::string(service) + std::to_string(i);
+        list.push_back({.daemon_id = id,
+                        .service = service,
+                        .address = id,
+                        .data_centre = "dc1",
+                        .incarnation = 1,
+                        .slots = 10});
+      }
+    }
+    targets.SetTargets(list, time.Now());
+    Refill();
+  }
+
+  void Refill() {
+    accounts.CollectDemands();
+    accounts.ApplyGrants(std::vector<token_grant>{{"builder", 100, absl::Seconds(1), {}}},
+                         time.Now());
+  }
+
+  std::shared_ptr<recorded_exchange> Send(http_request request) {
+    request.headers.push_back({"X-Api-Key", kSampleKey});
+    auto resolved = Capture<resolved_call>([&] {
+      return ResolveCall(*manifest, contexts, request, std::to_string(++next_request), time.Now());
+    });
+    auto exchange = std::make_shared<recorded_exchange>();
+    std::make_shared<entry_call>(ports, std::get<resolved_call>(std::move(resolved)), exchange)
+        ->Start();
+    return exchange;
+  }
+
+  std::shared_ptr<recorded_exchange> Order(std::string key, std::string body = "1 mat") {
+    return Send({"POST", "/orders", {{"Idempotency-Key", std::move(key)}}, std::move(body)});
+  }
+};
+
+std::string OutcomeOf(const recorded_exchange& exchange) {
+  return std::string(FindHeader(exchange.last.headers, "Teaseljunction-Outcome").value_or(""));
+}
+
+}  // namespace
+
+// Guards against a second run of a non-idempotent request after each kind of failed attempt, and
+// against a "not run" that hides that an attempt may have run.
+TEST_CASE("a failed attempt of an order is repeated only when it certainly has not run") {
+  for (int i = 0; i < kErrorKindCount; ++i) {
+    const auto kind = static_cast<error_kind>(i);
+    const error_answer& row = AnswerFor(kind);
+    INFO(std::string(row.name));
+    entry_fixture fixture;
+    const auto exchange = fixture.Order("k1");
+    REQUIRE(fixture.peers.attempts.size() == 1);
+    fixture.peers.FailLast(kind);
+    fixture.time.AdvanceBy(absl::Seconds(1));
+    if (row.run == run_state::kMayHaveRun) {
+      CHECK(fixture.peers.attempts.size() == 1);
+      CHECK(OutcomeOf(*exchange) == "may-have-run");
+      CHECK(fixture.control.claims.size() == 1);
+    } else if (exchange->responses == 1) {
+      CHECK(OutcomeOf(*exchange) == "not-run");
+      CHECK(fixture.control.claims.empty());
+    } else {
+      CHECK(fixture.peers.attempts.size() == 2);
+      CHECK(fixture.peers.attempts[0].address != fixture.peers.attempts[1].address);
+    }
+  }
+}
+
+// Guards against a second run of an order that was sent again, at each state of the first one.
+TEST_CASE("a repeated order gets the recorded answer or is refused") {
+  entry_fixture fixture;
+  const auto first = fixture.Order("k1");
+  const auto while_running = fixture.Order("k1");
+  CHECK(while_running->last.status == 409);
+  CHECK(OutcomeOf(*while_running) == "may-have-run");
+  fixture.peers.AnswerLast(201, "order 17");
+  CHECK(first->last.body == "order 17");
+  const auto repeated = fixture.Order("k1");
+  CHECK(repeated->last.status == 201);
+  CHECK(repeated->last.body == "order 17");
+  CHECK(fixture.Order("k1", "2 mats")->last.status == 422);
+  CHECK(fixture.peers.attempts.size() == 1);
+}
+
+// Guards against an order that runs without a registered claim.
+TEST_CASE("an order is not dispatched while the control group is unavailable") {
+  entry_fixture fixture;
+  fixture.control.available = false;
+  const auto exchange = fixture.Order("k1");
+  CHECK(exchange->last.status == 503);
+  CHECK(OutcomeOf(*exchange) == "not-run");
+  CHECK(fixture.peers.attempts.empty());
+}
+
+// Guards against a later "not run" refusal that hides an earlier attempt of a lookup, and against
+// unbounded attempts.
+TEST_CASE("a lookup that may have run is never reported as not run") {
+  entry_fixture fixture;
+  const auto exchange = fixture.Send({"GET", "/stock/1", {}, ""});
+  fixture.peers.FailLast(error_kind::kPeerLost);
+  fixture.time.AdvanceBy(absl::Seconds(1));
+  while (exchange->responses == 0) {
+    fixture.peers.FailLast(error_kind::kOverloaded);
+    fixture.time.AdvanceBy(absl::Seconds(1));
+  }
+  CHECK(OutcomeOf(*exchange) == "may-have-run");
+  CHECK(fixture.peers.attempts.size() <= 3);
+}
+
+// Guards against work for a caller that has gone, and against a cancelled order whose answer would
+// be lost for its repeat.
+TEST_CASE("a disconnect cancels a lookup but not a claimed order") {
+  entry_fixture fixture;
+  const auto lookup = fixture.Send({"GET", "/stock/1", {}, ""});
+  lookup->disconnect();
+  CHECK(fixture.peers.attempts[0].cancelled);
+  const auto order = fixture.Order("k2");
+  order->disconnect();
+  CHECK_FALSE(fixture.peers.attempts[1].cancelled);
+  fixture.peers.AnswerLast(201, "order 18");
+  CHECK(fixture.Order("k2")->last.body == "order 18");
+}
+
+// Guards against requests above the tokens of the account, and against a wait without end.
+TEST_CASE("a request without a token waits and is then refused as not run") {
+  entry_fixture fixture;
+  fixture.time.AdvanceBy(absl::Seconds(2));  // The tokens have expired.
+  const auto waiting = fixture.Send({"GET", "/stock/1", {}, ""});
+  const auto refused = fixture.Send({"GET", "/stock/2", {}, ""});
+  CHECK(waiting->responses == 0);
+  fixture.accounts.CollectDemands();
+  fixture.accounts.ApplyGrants(std::vector<token_grant>{{"builder", 1, absl::Seconds(1), {}}},
+                               fixture.time.Now());
+  CHECK(fixture.peers.attempts.size() == 1);
+  fixture.time.AdvanceBy(absl::Seconds(1));
+  CHECK(refused->last.status == 429);
+  CHECK(OutcomeOf(*refused) == "not-run");
+  CHECK(FindHeader(refused->last.headers, "Retry-After"));
+}
+
+}  // namespace teaseljunction
