--- /dev/null
+++ b/src/bench/internal/replay_parts.cc
@@ -0,0 +1,235 @@
+#include "bench/replay_parts.h"
+
+#include <set>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "balancer/retry_policy.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr size_t kFixedQueueCalls = 1000;
+constexpr absl::Duration kColdPeriod = absl::Seconds(5);
+constexpr double kColdFactor = 3;
+
+class adaptive_gate : public target_gate {
+ public:
+  adaptive_gate(uint32_t slots, absl::Time now)
+      : controller_(admission_controller_builder().Build()) {
+    controller_.SetSlots(slots, now);
+  }
+  admission_decision Arrive(const admission_request& request, absl::Time now) override {
+    return controller_.Arrive(request, now);
+  }
+  void Finish(uint64_t call_id, target_result result, absl::Duration service_time,
+              absl::Time now) override {
+    controller_.Finish(call_id, result, service_time, now);
+  }
+  void Cancel(uint64_t call_id, absl::Time now) override { controller_.Cancel(call_id, now); }
+  std::vector<admission_decision> Poll(absl::Time now) override { return controller_.Poll(now); }
+  absl::Time NextPoll(absl::Time now) const override { return controller_.NextPoll(now); }
+  overload_level Level(absl::Time now) const override { return controller_.Level(now); }
+  void Restart(absl::Time now) override { controller_.ResetForColdTarget(now); }
+
+ private:
+  admission_controller controller_;
+};
+
+class fixed_gate : public target_gate {
+ public:
+  explicit fixed_gate(uint32_t limit) : limit_(limit) {}
+  admission_decision Arrive(const admission_request& request, absl::Time) override {
+    if (running_.size() < limit_) {
+      running_.insert(request.call_id);
+      return {request.call_id, admission_verdict::kStart, {}};
+    }
+    if (queue_.size() >= kFixedQueueCalls) {
+      return {request.call_id, admission_verdict::kRefused, error_kind::kOverloaded};
+    }
+    queue_.push_back(request.call_id);
+    return {request.call_id, admission_verdict::kQueued, {}};
+  }
+  void Finish(uint64_t call_id, target_result, absl::Duration, absl::Time) override {
+    running_.erase(call_id);
+  }
+  std::vector<admission_decision> Poll(absl::Time) override {
+    std::vector<admission_decision> starts;
+    while (running_.size() < limit_ && !queue_.empty()) {
+      running_.insert(queue_.front());
+      starts.push_back({queue_.front(), admission_verdict::kStart, {}});
+      queue_.pop_front();
+    }
+    return starts;
+  }
+  void Restart(absl::Time) override { running_.clear(); }
+
+ private:
+  const size_t limit_;
+  std::set<uint64_t> running_;
+  std::deque<uint64_t> queue_;
+};
+
+class open_gate : public target_gate {
+ public:
+  admission_decision Arrive(const admission_request& request, absl::Time) override {
+    return {request.call_id, admission_verdict::kStart, {}};
+  }
+  void Finish(uint64_t, target_result, absl::Duration, absl::Time) override {}
+};
+
+int TargetNumber(const std::string& address) {
+  int number = 0;
+  return absl::SimpleAtoi(address, &number) ? number : 0;
+}
+
+class balanced_policy : public hop_policy {
+ public:
+  balanced_policy(balancer built, random_source& random)
+      : balancer_(std::move(built)), random_(random) {}
+  balancer& Balancer() { return balancer_; }
+  bool Admits(const std::string& service, request_priority priority, uint8_t cohort,
+              absl::Time now) override {
+    return balancer_.Admits(service, priority, cohort, now);
+  }
+  absl::optional<int> Choose(const std::string& service, request_priority priority, uint8_t cohort,
+                             const std::vector<std::string>& tried, absl::Time now) override {
+    const auto choice = balancer_.Choose(service, priority, cohort, tried, now);
+    if (!choice) return absl::nullopt;
+    return TargetNumber(choice->address);
+  }
+  void Started(int target, absl::Time now) override {
+    balancer_.Started(absl::StrCat(target), now);
+  }
+  void Finished(int target, attempt_result result, absl::Duration latency,
+                const overload_level& level, absl::Time now) override {
+    balancer_.Finished(absl::StrCat(target), result, latency, level, now);
+  }
+  absl::optional<absl::Duration> Retry(const std::string& service, error_kind failure,
+                                       bool idempotent, uint32_t attempts, absl::Duration time_left,
+                                       absl::Time now) override {
+    return DecideRetry({.service = service,
+                        .kind = failure,
+                        .idempotent = idempotent,
+                        .has_claim = !idempotent,
+                        .attempts_made = attempts,
+                        .crashes = 0,
+                        .time_left = time_left},
+                       retries_, random_, now);
+  }
+  void FirstAttempt(const std::string& service, absl::Time now) override {
+    retries_.RecordAttempt(service, now);
+  }
+
+ private:
+  balancer balancer_;
+  retry_budget retries_;
+  random_source& random_;
+};
+
+class random_policy : public hop_policy {
+ public:
+  random_policy(int retries, absl::Span<const balancer_target> targets, random_source& random)
+      : retries_(retries), targets_(targets.begin(), targets.end()), random_(random) {}
+  bool Admits(const std::string&, request_priority, uint8_t, absl::Time) override { return true; }
+  absl::optional<int> Choose(const std::string& service, request_priority, uint8_t,
+                             const std::vector<std::string>&, absl::Time) override {
+    std::vector<int> found;
+    for (const balancer_target& target : targets_) {
+      if (target.service == service) found.push_back(TargetNumber(target.address));
+    }
+    if (found.empty()) return absl::nullopt;
+    return found[random_.Below(found.size())];
+  }
+  void Started(int, absl::Time) override {}
+  void Finished(int, attempt_result, absl::Duration, const overload_level&, absl::Time) override {}
+  absl::optional<absl::Duration> Retry(const std::string&, error_kind, bool, uint32_t attempts,
+                                       absl::Duration, absl::Time) override {
+    if (static_cast<int>(attempts) > retries_) return absl::nullopt;
+    return absl::ZeroDuration();
+  }
+  void FirstAttempt(const std::string&, absl::Time) override {}
+
+ private:
+  const int retries_;
+  const std::vector<balancer_target> targets_;
+  random_source& random_;
+};
+
+}  // namespace
+
+void event_queue::RunUntil(absl::Time end) {
+  while (!events_.empty() && events_.top().when <= end) {
+    now_ = events_.top().when;
+    const std::function<void()> action = std::move(const_cast<event&>(events_.top()).action);
+    events_.pop();
+    action();
+  }
+  now_ = end;
+}
+
+// SplitMix64.
+uint64_t replay_random::Next() {
+  uint64_t mixed = (state_ += 0x9e3779b97f4a7c15);
+  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
+  return mixed ^ (mixed >> 31);
+}
+
+std::unique_ptr<target_gate> MakeGate(const replay_policy& policy, uint32_t slots, absl::Time now) {
+  switch (policy.gate) {
+    case replay_policy::gate_kind::kAdaptive:
+      return std::make_unique<adaptive_gate>(slots, now);
+    case replay_policy::gate_kind::kFixed:
+      return std::make_unique<fixed_gate>(slots);
+    case replay_policy::gate_kind::kOpen:
+      return std::make_unique<open_gate>();
+  }
+  return nullptr;
+}
+
+std::unique_ptr<hop_policy> MakeHopPolicy(const replay_policy& policy, const std::string& daemon_id,
+                                          const std::string& data_centre,
+                                          absl::Span<const balancer_target> targets,
+                                          random_source& random, absl::Time now) {
+  if (!policy.balanced) {
+    return std::make_unique<random_policy>(policy.hop_retries, targets, random);
+  }
+  auto made = std::make_unique<balanced_policy>(balancer_builder()
+                                                    .SetDaemonId(daemon_id)
+                                                    .SetDataCentre(data_centre)
+                                                    .SetRandomSource(&random)
+                                                    .Build(),
+                                                random);
+  made->Balancer().SetTargets(targets, now);
+  return made;
+}
+
+void fake_target::Begin(std::function<void()> start) {
+  if (running_ >= slots_) {
+    waiting_.push_back(std::move(start));
+    return;
+  }
+  ++running_;
+  start();
+}
+
+void fake_target::End() {
+  --running_;
+  if (waiting_.empty()) return;
+  const std::function<void()> next = std::move(waiting_.front());
+  waiting_.pop_front();
+  ++running_;
+  next();
+}
+
+void fake_target::Restart(absl::Time now) {
+  ++generation_;
+  running_ = 0;
+  waiting_.clear();
+  cold_until_ = now + kColdPeriod;
+}
+
+double fake_target::ColdFactor(absl::Time now) const { return now < cold_until_ ? kColdFactor : 1; }
+
+}  // namespace teaseljunction
