--- a/src/bench/internal/replay.cc
+++ b/src/bench/internal/replay.cc
@@ -133,7 +133,7 @@
   event_queue events_;
   const absl::Time start_ = events_.Now();
   replay_score score_;
-  std::vector<daemon_state> daemons_;
+  std::deque<daemon_state> daemons_;
   share_owner owner_;
   std::unordered_map<uint64_t, std::shared_ptr<attempt_state>> at_target_;
   uint64_t next_id_ = 0;
@@ -172,11 +172,10 @@
   }
   owner_.SetAccounts(rates, now);
   owner_.StartTerm(now);
-  daemons_.resize(targets.size());
   size_t next = 0;
   for (size_t service = 0; service < trace_.services.size(); ++service) {
     for (int i = 0; i < trace_.services[service].targets; ++i, ++next) {
-      daemon_state& daemon = daemons_[next];
+      daemon_state& daemon = daemons_.emplace_back();
       daemon.service = service;
       daemon.data_centre = i % trace_.data_centres;
       daemon.target = fake_target(trace_.services[service].slots);
