--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -5,7 +5,10 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+#include "bench/overhead.h"
 #include "bench/replay.h"
 #include "bench/trace.h"
 #include "common/log.h"
@@ -13,7 +16,16 @@
 INITIALIZE_EASYLOGGINGPP
 
 ABSL_FLAG(bool, json, false, "print one JSON document instead of a table");
-ABSL_FLAG(std::string, policy, "", "replay with this policy only");
+ABSL_FLAG(std::string, policy, "", "replay: use this policy only");
+ABSL_FLAG(std::string, direct, "", "overhead: IP:port of the stand-in target");
+ABSL_FLAG(std::string, local, "", "overhead: IP:port of the entry of the daemon beside the target");
+ABSL_FLAG(std::string, remote, "", "overhead: IP:port of the entry of another daemon");
+ABSL_FLAG(std::string, path, "/", "overhead: path of the calls");
+ABSL_FLAG(std::string, key, "", "overhead: key of the calls");
+ABSL_FLAG(std::vector<std::string>, rates, std::vector<std::string>({"250", "1000"}),
+          "overhead: calls per second");
+ABSL_FLAG(std::vector<std::string>, pids, {}, "overhead: processes whose use is reported");
+ABSL_FLAG(int, rounds, 10, "overhead: rounds of one second for each way and rate");
 
 namespace teaseljunction {
 namespace {
@@ -76,6 +88,74 @@
   return 0;
 }
 
+std::vector<int> Numbers(const std::vector<std::string>& texts) {
+  std::vector<int> numbers;
+  for (const std::string& text : texts) {
+    int number = 0;
+    if (absl::SimpleAtoi(text, &number) && number > 0) numbers.push_back(number);
+  }
+  return numbers;
+}
+
+nlohmann::json OverheadJson(const overhead_report& report) {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const overhead_row& row : report.rows) {
+    rows.push_back({{"rate", row.rate},
+                    {"way", row.way},
+                    {"calls", row.calls},
+                    {"failures", row.failures},
+                    {"p50Ms", row.p50},
+                    {"p99Ms", row.p99},
+                    {"p999Ms", row.p999},
+                    {"addedP99Ms", row.added_p99}});
+  }
+  nlohmann::json processes = nlohmann::json::array();
+  for (const process_usage& process : report.processes) {
+    processes.push_back({{"pid", process.pid},
+                         {"cores", process.cores},
+                         {"residentMegabytes", process.resident_megabytes}});
+  }
+  return {{"rows", rows}, {"processes", processes}};
+}
+
+void PrintOverhead(const overhead_report& report) {
+  std::cout << absl::StrFormat("%6s %-12s %8s %8s %8s %8s %8s %10s\n", "rate", "way", "calls",
+                               "failures", "p50 ms", "p99 ms", "p999 ms", "added p99");
+  for (const overhead_row& row : report.rows) {
+    std::cout << absl::StrFormat("%6d %-12s %8d %8d %8.3f %8.3f %8.3f %10.3f\n", row.rate, row.way,
+                                 row.calls, row.failures, row.p50, row.p99, row.p999,
+                                 row.added_p99);
+  }
+  for (const process_usage& process : report.processes) {
+    std::cout << absl::StrFormat("process %d: %.4f cores, %.1f MB\n", process.pid, process.cores,
+                                 process.resident_megabytes);
+  }
+}
+
+int RunOverhead() {
+  overhead_settings settings;
+  settings.direct = absl::GetFlag(FLAGS_direct);
+  settings.local = absl::GetFlag(FLAGS_local);
+  settings.remote = absl::GetFlag(FLAGS_remote);
+  settings.path = absl::GetFlag(FLAGS_path);
+  settings.key = absl::GetFlag(FLAGS_key);
+  settings.rates = Numbers(absl::GetFlag(FLAGS_rates));
+  settings.rounds = absl::GetFlag(FLAGS_rounds);
+  settings.pids = Numbers(absl::GetFlag(FLAGS_pids));
+  auto measured = Capture<overhead_report>([&] { return MeasureOverhead(settings); });
+  if (const auto* failure = std::get_if<error>(&measured)) {
+    std::cerr << "teaseljunction-bench: " << failure->detail << "\n";
+    return kUsageExitCode;
+  }
+  const auto& report = std::get<overhead_report>(measured);
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << OverheadJson(report).dump(1) << "\n";
+  } else {
+    PrintOverhead(report);
+  }
+  return 0;
+}
+
 int WriteTraces(const std::string& folder) {
   for (const trace& generated : StandardTraces()) {
     std::ofstream file(folder + "/" + generated.name + ".json");
@@ -95,12 +175,14 @@
   absl::SetProgramUsageMessage(
       "Measurements.\n"
       "  teaseljunction-bench replay [--json] [--policy=NAME] TRACE...\n"
-      "  teaseljunction-bench traces FOLDER");
+      "  teaseljunction-bench traces FOLDER\n"
+      "  teaseljunction-bench overhead --direct=A --local=B --remote=C [--key=K] [--json]");
   std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
   const std::string command = arguments.size() > 1 ? arguments[1] : "";
   const std::vector<char*> rest(arguments.begin() + std::min<size_t>(2, arguments.size()),
                                 arguments.end());
   if (command == "replay" && !rest.empty()) return teaseljunction::RunReplay(rest);
+  if (command == "overhead" && rest.empty()) return teaseljunction::RunOverhead();
   if (command == "traces" && rest.size() == 1) return teaseljunction::WriteTraces(rest[0]);
   std::cerr << absl::ProgramUsageMessage() << "\n";
   return teaseljunction::kUsageExitCode;
