--- /dev/null
+++ b/src/control/internal/member_core.cc
@@ -0,0 +1,356 @@
+#include "control/internal/member_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/log.h"
+#include "control/codec.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr uint64_t kMaxCommandBytes = 4 * 1024 * 1024;
+
+propose_response RefusedResponse(const error& failure, std::string leader_address) {
+  propose_response response;
+  response.from_leader = failure.kind != error_kind::kNotLeader;
+  response.leader_address = std::move(leader_address);
+  response.result.failure = failure;
+  return response;
+}
+
+error CommitUnknown() {
+  return {error_kind::kCommitUnknown, "The command may be committed later."};
+}
+
+template <class... Ts>
+struct overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <class... Ts>
+overloaded(Ts...) -> overloaded<Ts...>;
+
+}  // namespace
+
+encoded_proposal EncodeProposal(command value, proposal_completion completion) {
+  std::string data = EncodeCommand(value);
+  return {std::move(value), std::move(data), std::move(completion)};
+}
+
+member_core::member_core(control_member_settings settings, control_storage& storage,
+                         random_source& random, raft_transport& transport,
+                         control_observer* observer)
+    : settings_(std::move(settings)),
+      storage_(storage),
+      random_(random),
+      transport_(transport),
+      observer_(observer),
+      bootstrap_(settings_.address, settings_.data_centre, settings_.initial_peers),
+      state_(settings_.limits) {}
+
+result<void> member_core::Start(absl::Time now) {
+  outcome<stored_log> loaded = Capture<stored_log>([&] { return storage_.Load(); });
+  if (const error* failure = std::get_if<error>(&loaded)) {
+    if (failure->kind != error_kind::kStorageCorrupt) {
+      return teaseljunction::Fail(failure->kind, failure->detail);
+    }
+    StartReplica({}, now);
+    Fail(*failure);
+    return {};
+  }
+  stored_log& stored = std::get<stored_log>(loaded);
+  if (stored.state.member_id == 0) {
+    while (stored.state.member_id == 0) stored.state.member_id = random_.Next();
+    BOOST_LEAF_CHECK(storage_.Append(&stored.state, {}));
+    LOG(INFO) << "control: new data folder, member id " << stored.state.member_id;
+  }
+  StartReplica(std::move(stored), now);
+  UpdateView(now);
+  return {};
+}
+
+void member_core::StartReplica(stored_log stored, absl::Time now) {
+  const absl::optional<log_snapshot> snapshot = stored.snapshot;
+  replica_.emplace(raft_settings(), std::move(stored), settings_.address, random_, now);
+  if (snapshot) Restore(*snapshot);
+}
+
+bool member_core::Restore(const log_snapshot& snapshot) {
+  if (!Succeeds([&] { return state_.Restore(snapshot); })) return false;
+  snapshot_index_ = snapshot.index;
+  snapshot_size_ = snapshot.data ? snapshot.data->size() : 0;
+  bytes_since_snapshot_ = 0;
+  return true;
+}
+
+template <class Operation>
+bool member_core::Succeeds(Operation&& operation) {
+  const outcome<bool> done = Capture<bool>([&]() -> result<bool> {
+    BOOST_LEAF_CHECK(operation());
+    return true;
+  });
+  if (const error* failure = std::get_if<error>(&done)) {
+    Fail(*failure);
+    return false;
+  }
+  return true;
+}
+
+void member_core::Fail(const error& failure) {
+  if (failed_) return;
+  failed_ = true;
+  failure_ = failure;
+  replica_->Fail();
+  LOG(ERROR) << "control: member stopped, " << AnswerFor(failure.kind).name << ": "
+             << failure.detail;
+  Stop();
+  UpdateView(absl::InfinitePast());
+}
+
+void member_core::Receive(absl::string_view message, absl::Time now) {
+  if (failed_) return;
+  outcome<control_message> decoded =
+      Capture<control_message>([&] { return DecodeMessage(message); });
+  if (std::holds_alternative<error>(decoded)) {
+    LOG(WARNING) << "control: dropped a message that cannot be decoded";
+    return;
+  }
+  std::visit(overloaded{[&](const raft_message& raft) { replica_->Step(raft, now); },
+                        [&](const bootstrap_hello& hello) { HandleHello(hello, now); }},
+             std::get<control_message>(decoded));
+}
+
+void member_core::HandleHello(const bootstrap_hello& hello, absl::Time now) {
+  hard_state state = replica_->State();
+  if (state.group_id == 0) {
+    bootstrap_output output = bootstrap_.Step(hello, state, now);
+    return RunBootstrap(std::move(output), std::move(state), now);
+  }
+  if (hello.request) transport_.Send(hello.address, EncodeMessage(bootstrap_.Hello(state)));
+}
+
+void member_core::RunBootstrap(bootstrap_output output, hard_state state, absl::Time now) {
+  if (output.agreed) {
+    if (!Succeeds([&] { return storage_.Append(&state, {}); })) return;
+    stored_log stored;
+    stored.state = state;
+    StartReplica(std::move(stored), now);
+  }
+  for (const outgoing_hello& outgoing : output.hellos) {
+    transport_.Send(outgoing.address, EncodeMessage(outgoing.hello));
+  }
+  if (!output.start) return;
+  stored_log stored;
+  stored.snapshot = InitialSnapshot(state.initial_voters);
+  state.group_id = GroupId(state.initial_voters);
+  state.term = stored.snapshot->term;
+  stored.state = state;
+  if (!Succeeds([&] { return storage_.Checkpoint(*stored.snapshot, state, {}); })) return;
+  LOG(INFO) << "control: started group " << state.group_id << " with "
+            << state.initial_voters.size() << " voters";
+  StartReplica(std::move(stored), now);
+}
+
+void member_core::Propose(encoded_proposal proposal, absl::Time now) {
+  const outcome<uint64_t> index = Capture<uint64_t>([&]() -> result<uint64_t> {
+    if (proposal.data.size() > kMaxCommandBytes) {
+      return teaseljunction::Fail(error_kind::kBodyTooLarge, "The command is too large.");
+    }
+    return std::visit(
+        overloaded{
+            [&](const add_learner& change) { return replica_->ProposeChange(change, now); },
+            [&](const promote& change) { return replica_->ProposeChange(change, now); },
+            [&](const remove_member& change) { return replica_->ProposeChange(change, now); },
+            [&](const auto&) { return replica_->Propose(std::move(proposal.data), now); }},
+        proposal.value);
+  });
+  if (const error* failure = std::get_if<error>(&index)) {
+    return Answer(std::move(proposal.completion),
+                  RefusedResponse(*failure, replica_->LeaderAddress()));
+  }
+  const uint64_t position = std::get<uint64_t>(index);
+  if (position != 0) {
+    // A proposal of an earlier term may still wait at this index; its record is gone.
+    Complete(position, replica_->State().term, {});
+    waiting_[position] = {replica_->State().term, now + settings_.proposal_timeout,
+                          std::move(proposal.completion)};
+    return;
+  }
+  propose_response response;
+  response.from_leader = true;
+  response.leader_address = settings_.address;
+  response.result.applied = true;
+  response.result.already_accepted = true;
+  Answer(std::move(proposal.completion), std::move(response));
+}
+
+void member_core::Tick(absl::Time now) {
+  if (failed_) return;
+  if (replica_->State().group_id == 0) {
+    hard_state state = replica_->State();
+    bootstrap_output output = bootstrap_.Tick(state, now);
+    RunBootstrap(std::move(output), std::move(state), now);
+  }
+  replica_->Tick(now);
+}
+
+absl::Time member_core::NextTick() const {
+  absl::Time next = replica_->NextTick();
+  if (!failed_ && replica_->State().group_id == 0) next = std::min(next, bootstrap_.NextTick());
+  if (!waiting_.empty()) next = std::min(next, waiting_.begin()->second.deadline);
+  return next;
+}
+
+void member_core::FinishBatch(absl::Time now) {
+  if (failed_) return;
+  if (replica_->Role() == member_role::kFailed) {
+    return Fail({error_kind::kStorageCorrupt, "A committed record differs from the leader's."});
+  }
+  const raft_output output = replica_->TakeOutput(now);
+  if (!Persist(output)) return;
+  SendAll(output.messages);
+  Apply(output.committed);
+  FinishProposals(now);
+  MaybeSnapshot(now);
+  if (!failed_) UpdateView(now);
+}
+
+bool member_core::Persist(const raft_output& output) {
+  if (output.installed) {
+    const log_snapshot& snapshot = *output.installed;
+    LOG(INFO) << "control: installed a snapshot up to record " << snapshot.index;
+    // Decoded first, so that a damaged snapshot does not replace what is stored.
+    if (!Restore(snapshot)) return false;
+    return Succeeds([&] {
+      return storage_.Checkpoint(snapshot, replica_->State(),
+                                 replica_->RecordsAfter(snapshot.index));
+    });
+  }
+  if (!output.state && output.records.empty()) return true;
+  const hard_state* state = output.state ? &*output.state : nullptr;
+  return Succeeds([&] { return storage_.Append(state, output.records); });
+}
+
+void member_core::SendAll(const std::vector<outgoing_message>& messages) {
+  for (const outgoing_message& outgoing : messages) {
+    transport_.Send(outgoing.address, EncodeMessage(outgoing.message));
+  }
+}
+
+void member_core::Apply(const std::vector<log_record>& records) {
+  for (const log_record& record : records) {
+    bytes_since_snapshot_ += sizeof(log_record) + record.data.size();
+    Complete(record.index, record.term, state_.Apply(record));
+  }
+}
+
+void member_core::Complete(uint64_t index, uint64_t term, command_result result) {
+  const auto found = waiting_.find(index);
+  if (found == waiting_.end()) return;
+  propose_response response;
+  response.from_leader = true;
+  response.leader_address = replica_->LeaderAddress();
+  response.result = std::move(result);
+  // The record of another leader has taken the place of the proposed one.
+  if (found->second.term != term) response = RefusedResponse(CommitUnknown(), {});
+  Answer(std::move(found->second.completion), std::move(response));
+  waiting_.erase(found);
+}
+
+void member_core::FinishProposals(absl::Time now) {
+  const bool lost = !replica_->IsLeader();
+  while (!waiting_.empty()) {
+    waiting_proposal& first = waiting_.begin()->second;
+    const bool outdated = lost || first.term != replica_->State().term || now >= first.deadline;
+    if (!outdated) return;
+    Answer(std::move(first.completion),
+           RefusedResponse(CommitUnknown(), replica_->LeaderAddress()));
+    waiting_.erase(waiting_.begin());
+  }
+}
+
+void member_core::Stop() {
+  for (auto& [index, proposal] : waiting_) {
+    Answer(std::move(proposal.completion), RefusedResponse(CommitUnknown(), {}));
+  }
+  waiting_.clear();
+}
+
+void member_core::MaybeSnapshot(absl::Time now) {
+  const uint64_t applied = state_.AppliedIndex();
+  const bool many_records = applied >= snapshot_index_ + settings_.snapshot_records;
+  const bool many_bytes =
+      bytes_since_snapshot_ >= std::max(settings_.snapshot_bytes, snapshot_size_);
+  if (!many_records && !many_bytes) return;
+  // Writing a large snapshot takes a while, so followers hear from the leader right before.
+  replica_->RenewLease(now);
+  SendAll(replica_->TakeOutput(now).messages);
+  const log_snapshot snapshot = state_.Snapshot();
+  const bool stored = Succeeds([&] {
+    return storage_.Checkpoint(snapshot, replica_->State(), replica_->RecordsAfter(snapshot.index));
+  });
+  if (!stored) return;
+  replica_->Compact(snapshot);
+  snapshot_index_ = snapshot.index;
+  snapshot_size_ = snapshot.data->size();
+  bytes_since_snapshot_ = 0;
+}
+
+void member_core::Answer(proposal_completion completion, propose_response response) {
+  callbacks_.push_back(
+      [completion = std::move(completion), response = std::move(response)]() mutable {
+        completion(std::move(response));
+      });
+}
+
+void member_core::RunCallbacks() {
+  // A callback may not add others, but the list is moved so that this holds in any case.
+  std::vector<absl::AnyInvocable<void()>> due = std::exchange(callbacks_, {});
+  for (absl::AnyInvocable<void()>& callback : due) callback();
+}
+
+void member_core::UpdateView(absl::Time now) {
+  const absl::Time previous_leader_since = view_.leader_since;
+  control_status& status = view_.status;
+  const hard_state& stored = replica_->State();
+  status.member_id = stored.member_id;
+  status.group_id = stored.group_id;
+  status.role = failed_ ? member_role::kFailed : replica_->Role();
+  status.term = stored.term;
+  status.commit_index = replica_->CommitIndex();
+  status.applied_index = state_.AppliedIndex();
+  status.leader_address = failed_ ? std::string() : replica_->LeaderAddress();
+  status.failure = failure_;
+  status.members.clear();
+  for (const group_member& member : replica_->Configuration()) {
+    status.members.push_back({member.member_id, member.address, member.data_centre, member.voter});
+  }
+  if (status.members.empty()) {
+    status.members.push_back({stored.member_id, settings_.address, settings_.data_centre, false});
+  }
+  view_.leader = replica_->IsLeader();
+  view_.leader_since = replica_->LeaderSince();
+  view_.lease_until = replica_->LeaseUntil(now);
+  if (view_.leader_since != previous_leader_since) NotifyLeadership(now);
+  if (view_.quarantined->size() != state_.QuarantineSize()) {
+    view_.quarantined = std::make_shared<std::vector<std::string>>(state_.Quarantined(0));
+  }
+  if (view_.manifest->version == state_.Manifest()->version) return;
+  view_.manifest = state_.Manifest();
+  LOG(INFO) << "control: manifest version " << view_.manifest->version << " applied";
+  if (observer_ == nullptr) return;
+  callbacks_.push_back(
+      [observer = observer_, manifest = view_.manifest] { observer->OnManifest(manifest); });
+}
+
+void member_core::NotifyLeadership(absl::Time now) {
+  const bool leader = view_.leader;
+  LOG(INFO) << "control: " << (leader ? "became" : "stopped being") << " leader, term "
+            << view_.status.term;
+  if (observer_ == nullptr) return;
+  const absl::Time since = leader ? view_.leader_since : now;
+  callbacks_.push_back(
+      [observer = observer_, leader, since] { observer->OnLeadership(leader, since); });
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/control/internal/member_core.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/functional/any_invocable.h"
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "control/bootstrap.h"
+#include "control/control_member.h"
+#include "control/journal.h"
+#include "control/raft_replica.h"
+#include "control/replicated_state.h"
+
+namespace teaseljunction {
+
+using proposal_completion = absl::AnyInvocable<void(propose_response)>;
+
+/// A proposal with its command already encoded, so that callers' threads bear that cost.
+struct encoded_proposal {
+  command value;
+  std::string data;
+  proposal_completion completion;
+};
+
+encoded_proposal EncodeProposal(command value, proposal_completion completion);
+
+/// What readers of a control member see; replaced after each batch.
+struct member_view {
+  control_status status;
+  bool leader = false;
+  absl::Time leader_since = absl::InfiniteFuture();
+  absl::Time lease_until = absl::InfinitePast();
+  std::shared_ptr<const manifest_record> manifest = std::make_shared<manifest_record>();
+  std::shared_ptr<const std::vector<std::string>> quarantined =
+      std::make_shared<std::vector<std::string>>();
+};
+
+/// The control member without its thread: connects replica, journal, replicated state and
+/// transport. A batch consists of calls to `Receive`, `Propose` and `Tick`, one `FinishBatch` and
+/// one `RunCallbacks`. Not thread-safe.
+class member_core {
+ public:
+  /// The references must outlive the core. `observer` may be null.
+  member_core(control_member_settings settings, control_storage& storage, random_source& random,
+              raft_transport& transport, control_observer* observer);
+
+  /// Loads the stored state, and stores a new id when there is none. Errors: kStorageFailed. With a
+  /// damaged journal it succeeds and the role is kFailed.
+  result<void> Start(absl::Time now);
+
+  void Receive(absl::string_view message, absl::Time now);
+  void Propose(encoded_proposal proposal, absl::Time now);
+  void Tick(absl::Time now);
+
+  /// Persists, sends and applies the effects of the batch.
+  void FinishBatch(absl::Time now);
+
+  /// Runs the observer and the completions that are due. To be called after `View` was published.
+  void RunCallbacks();
+
+  /// Ends all outstanding proposals with kCommitUnknown.
+  void Stop();
+
+  /// Time of the next `Tick` when nothing is received before.
+  absl::Time NextTick() const;
+
+  const member_view& View() const { return view_; }
+  const raft_replica& Replica() const { return *replica_; }
+  const replicated_state& State() const { return state_; }
+
+ private:
+  struct waiting_proposal {
+    uint64_t term = 0;
+    absl::Time deadline;
+    proposal_completion completion;
+  };
+
+  void HandleHello(const bootstrap_hello& hello, absl::Time now);
+  void RunBootstrap(bootstrap_output output, hard_state state, absl::Time now);
+  void StartReplica(stored_log stored, absl::Time now);
+  bool Restore(const log_snapshot& snapshot);
+  bool Persist(const raft_output& output);
+  void SendAll(const std::vector<outgoing_message>& messages);
+  void Apply(const std::vector<log_record>& records);
+  void MaybeSnapshot(absl::Time now);
+  void Complete(uint64_t index, uint64_t term, command_result result);
+  void FinishProposals(absl::Time now);
+  void Answer(proposal_completion completion, propose_response response);
+  void Fail(const error& failure);
+  // Stops the member when the operation fails; returns whether it succeeded.
+  template <class Operation>
+  bool Succeeds(Operation&& operation);
+  void UpdateView(absl::Time now);
+  void NotifyLeadership(absl::Time now);
+
+  control_member_settings settings_;
+  control_storage& storage_;
+  random_source& random_;
+  raft_transport& transport_;
+  control_observer* observer_;
+  bootstrap bootstrap_;
+  absl::optional<raft_replica> replica_;
+  replicated_state state_;
+  bool failed_ = false;
+  error failure_;
+  uint64_t snapshot_index_ = 0;
+  uint64_t snapshot_size_ = 0;
+  uint64_t bytes_since_snapshot_ = 0;
+  std::map<uint64_t, waiting_proposal> waiting_;
+  std::vector<absl::AnyInvocable<void()>> callbacks_;
+  member_view view_;
+};
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/control/internal/raft_election.cc
@@ -0,0 +1,136 @@
+#include <algorithm>
+#include <utility>
+
+#include "control/raft_replica.h"
+
+namespace teaseljunction {
+
+void raft_replica::ResetElectionDeadline(absl::Time now) {
+  const absl::Duration span = settings_.election_timeout_max - settings_.election_timeout_min;
+  election_deadline_ = now + settings_.election_timeout_min + span * random_.Fraction();
+}
+
+void raft_replica::BecomeFollower(uint64_t term, absl::Time now) {
+  if (role_ == member_role::kLeader) {
+    // Readers may have seen the lease as held; it must run out before another leader is elected.
+    vote_barrier_ = std::max(vote_barrier_, LeaseUntil(now));
+    leader_since_ = absl::InfiniteFuture();
+    peers_.clear();
+  }
+  if (term > state_.term) {
+    state_.term = term;
+    state_.vote = 0;
+    state_changed_ = true;
+  }
+  role_ = member_role::kFollower;
+  pre_vote_ = false;
+  leader_id_ = 0;
+  leader_address_.clear();
+  ResetElectionDeadline(now);
+}
+
+void raft_replica::StartPreVote(absl::Time now) {
+  role_ = member_role::kCandidate;
+  pre_vote_ = true;
+  leader_id_ = 0;
+  leader_address_.clear();
+  votes_ = {state_.member_id};
+  ResetElectionDeadline(now);
+  if (HasVoteQuorum()) return StartVote(now);
+  RequestVotes(raft_message_kind::kPreVote, state_.term + 1);
+}
+
+void raft_replica::StartVote(absl::Time now) {
+  pre_vote_ = false;
+  ++state_.term;
+  state_.vote = state_.member_id;
+  state_changed_ = true;
+  votes_ = {state_.member_id};
+  ResetElectionDeadline(now);
+  if (HasVoteQuorum()) return BecomeLeader(now);
+  RequestVotes(raft_message_kind::kVote, state_.term);
+}
+
+void raft_replica::RequestVotes(raft_message_kind kind, uint64_t term) {
+  for (const group_member& member : Configuration()) {
+    if (!member.voter || member.member_id == state_.member_id) continue;
+    raft_message request = NewMessage(kind, member.member_id);
+    request.term = term;
+    request.log_index = log_.LastIndex();
+    request.log_term = log_.LastTerm();
+    Send(member.address, std::move(request));
+  }
+}
+
+bool raft_replica::RefusesVotes(absl::Time now) const {
+  return now < vote_barrier_ || LeaseHeld(now);
+}
+
+bool raft_replica::IsUpToDate(const raft_message& candidate) const {
+  if (candidate.log_term != log_.LastTerm()) return candidate.log_term > log_.LastTerm();
+  return candidate.log_index >= log_.LastIndex();
+}
+
+void raft_replica::HandlePreVote(const raft_message& message, absl::Time now) {
+  const bool granted = message.term > state_.term && !RefusesVotes(now) && IsUpToDate(message);
+  Reply(message, raft_message_kind::kPreVoteResponse, granted, 0);
+  if (granted) output_.messages.back().message.term = message.term;
+}
+
+void raft_replica::HandleVote(const raft_message& message, absl::Time now) {
+  if (message.term < state_.term) {
+    return Reply(message, raft_message_kind::kVoteResponse, false, 0);
+  }
+  // The candidate does not move this member to its term either, since that would end the term of
+  // a leader that works.
+  if (RefusesVotes(now)) return;
+  const bool is_pre_candidate = role_ == member_role::kCandidate && pre_vote_;
+  if (message.term > state_.term || is_pre_candidate) BecomeFollower(message.term, now);
+  const bool free = state_.vote == 0 || state_.vote == message.from;
+  const bool granted = free && IsUpToDate(message) && role_ == member_role::kFollower;
+  if (granted) {
+    state_.vote = message.from;
+    state_changed_ = true;
+    ResetElectionDeadline(now);
+  }
+  Reply(message, raft_message_kind::kVoteResponse, granted, 0);
+}
+
+void raft_replica::HandleVoteResponse(const raft_message& message, absl::Time now) {
+  if (!message.accepted) {
+    if (message.term > state_.term) BecomeFollower(message.term, now);
+    return;
+  }
+  const bool is_pre_vote = message.kind == raft_message_kind::kPreVoteResponse;
+  const uint64_t term = is_pre_vote ? state_.term + 1 : state_.term;
+  const bool expected =
+      role_ == member_role::kCandidate && pre_vote_ == is_pre_vote && message.term == term;
+  if (!expected) return;
+  votes_.insert(message.from);
+  if (!HasVoteQuorum()) return;
+  is_pre_vote ? StartVote(now) : BecomeLeader(now);
+}
+
+bool raft_replica::HasVoteQuorum() const {
+  size_t count = 0;
+  for (const group_member& member : Configuration()) {
+    if (member.voter && votes_.count(member.member_id) > 0) ++count;
+  }
+  return count > VoterCount() / 2;
+}
+
+void raft_replica::BecomeLeader(absl::Time now) {
+  role_ = member_role::kLeader;
+  leader_id_ = state_.member_id;
+  leader_address_ = address_;
+  leader_since_ = now;
+  time_base_ = log_.LastTime();
+  peers_.clear();
+  SyncPeersWithConfiguration();
+  // An empty record lets the leader learn which records of earlier terms are committed.
+  term_start_index_ = log_.LastIndex() + 1;
+  AppendAsLeader({}, now);
+  SendHeartbeats(now);
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/control/internal/raft_log.cc
@@ -0,0 +1,90 @@
+#include "control/raft_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaseljunction {
+
+raft_log::raft_log(absl::optional<log_snapshot> snapshot, std::vector<log_record> records) {
+  if (snapshot) Install(*snapshot);
+  for (log_record& record : records) Append(std::move(record));
+}
+
+absl::optional<uint64_t> raft_log::TermAt(uint64_t index) const {
+  if (index == base_index_) return base_term_;
+  if (index < base_index_ || index > LastIndex()) return absl::nullopt;
+  return At(index).term;
+}
+
+std::vector<log_record> raft_log::RecordsAfter(uint64_t index) const {
+  const uint64_t skipped = std::max(index, base_index_) - base_index_;
+  if (skipped >= records_.size()) return {};
+  return {records_.begin() + static_cast<std::ptrdiff_t>(skipped), records_.end()};
+}
+
+void raft_log::Append(log_record record) {
+  if (record.index <= LastIndex()) TruncateFrom(record.index);
+  bytes_ += SizeOf(record);
+  if (record.kind == record_kind::kConfiguration) {
+    configuration_ = record.configuration;
+    configuration_index_ = record.index;
+  }
+  records_.push_back(std::move(record));
+}
+
+void raft_log::Install(const log_snapshot& snapshot) {
+  const bool keeps_suffix = TermAt(snapshot.index) == snapshot.term;
+  if (keeps_suffix) {
+    DropUpTo(snapshot.index);
+  } else {
+    records_.clear();
+    bytes_ = 0;
+  }
+  base_index_ = snapshot.index;
+  base_term_ = snapshot.term;
+  base_time_ = snapshot.time;
+  snapshot_ = snapshot;
+  FindConfiguration();
+}
+
+void raft_log::Compact(const log_snapshot& snapshot, uint64_t kept) {
+  snapshot_ = snapshot;
+  if (snapshot.index > base_index_ + kept) DropUpTo(snapshot.index - kept);
+}
+
+void raft_log::TruncateFrom(uint64_t index) {
+  while (LastIndex() >= index && !records_.empty()) {
+    bytes_ -= SizeOf(records_.back());
+    records_.pop_back();
+  }
+  if (configuration_index_ >= index) FindConfiguration();
+}
+
+void raft_log::DropUpTo(uint64_t index) {
+  while (base_index_ < index && !records_.empty()) {
+    const log_record& first = records_.front();
+    base_index_ = first.index;
+    base_term_ = first.term;
+    base_time_ = first.time;
+    bytes_ -= SizeOf(first);
+    records_.pop_front();
+  }
+}
+
+void raft_log::FindConfiguration() {
+  configuration_ = snapshot_ ? snapshot_->configuration : group_configuration{};
+  configuration_index_ = snapshot_ ? snapshot_->index : 0;
+  for (auto record = records_.rbegin(); record != records_.rend(); ++record) {
+    if (record->kind != record_kind::kConfiguration) continue;
+    if (record->index <= configuration_index_) return;
+    configuration_ = record->configuration;
+    configuration_index_ = record->index;
+    return;
+  }
+}
+
+uint64_t raft_log::SizeOf(const log_record& record) {
+  return sizeof(log_record) + record.data.size();
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/control/internal/raft_replica.cc
@@ -0,0 +1,269 @@
+#include "control/raft_replica.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace teaseljunction {
+
+const group_member* FindMember(const group_configuration& configuration, uint64_t member_id) {
+  for (const group_member& member : configuration) {
+    if (member.member_id == member_id) return &member;
+  }
+  return nullptr;
+}
+
+raft_replica::raft_replica(const raft_settings& settings, stored_log stored, std::string address,
+                           random_source& random, absl::Time now)
+    : settings_(settings),
+      address_(std::move(address)),
+      random_(random),
+      state_(std::move(stored.state)),
+      log_(std::move(stored.snapshot), std::move(stored.records)),
+      // Before its restart the member may have supported a leader whose lease still runs.
+      vote_barrier_(now + settings.election_timeout_min) {
+  // Two clocks that drift apart must not let the lease outlast the followers' promise.
+  if (settings_.lease * (1 + settings_.clock_drift) >=
+      settings_.election_timeout_min * (1 - settings_.clock_drift)) {
+    std::abort();
+  }
+  if (log_.Snapshot()) commit_index_ = log_.Snapshot()->index;
+  returned_index_ = commit_index_;
+  ResetElectionDeadline(now);
+}
+
+void raft_replica::Step(const raft_message& message, absl::Time now) {
+  if (role_ == member_role::kFailed || !IsForThisMember(message)) return;
+  switch (message.kind) {
+    case raft_message_kind::kPreVote:
+      return HandlePreVote(message, now);
+    case raft_message_kind::kVote:
+      return HandleVote(message, now);
+    case raft_message_kind::kPreVoteResponse:
+    case raft_message_kind::kVoteResponse:
+      return HandleVoteResponse(message, now);
+    case raft_message_kind::kAppend:
+      return HandleAppend(message, now);
+    case raft_message_kind::kSnapshot:
+      return HandleSnapshot(message, now);
+    case raft_message_kind::kAppendResponse:
+      return HandleAppendResponse(message, now);
+  }
+}
+
+bool raft_replica::IsForThisMember(const raft_message& message) const {
+  if (message.to != state_.member_id || message.from == state_.member_id) return false;
+  if (message.group_id == 0) return false;
+  if (state_.group_id != 0) return message.group_id == state_.group_id;
+  // A new member joins the group of the leader that was told its id, unless it has agreed to start
+  // a group with others.
+  const bool from_leader =
+      message.kind == raft_message_kind::kAppend || message.kind == raft_message_kind::kSnapshot;
+  return from_leader && state_.initial_voters.empty();
+}
+
+void raft_replica::Tick(absl::Time now) {
+  if (role_ == member_role::kFailed) return;
+  if (role_ != member_role::kLeader) {
+    if (now >= election_deadline_ && IsVoter()) StartPreVote(now);
+    return;
+  }
+  const absl::Time heard = std::max(QuorumAcknowledged(), leader_since_);
+  if (now - heard > settings_.election_timeout_max) {
+    // Without a quorum the leader can commit nothing, and a member that it cannot hear may be
+    // waiting for its heartbeats to end.
+    BecomeFollower(state_.term, now);
+    return;
+  }
+  if (now >= next_heartbeat_) SendHeartbeats(now);
+}
+
+absl::Time raft_replica::NextTick() const {
+  if (role_ == member_role::kLeader) return next_heartbeat_;
+  if (role_ == member_role::kFailed || !IsVoter()) return absl::InfiniteFuture();
+  return election_deadline_;
+}
+
+result<void> raft_replica::CheckProposal(absl::Time now) const {
+  if (role_ != member_role::kLeader) return teaseljunction::Fail(error_kind::kNotLeader);
+  if (!LeaseHeld(now)) {
+    return teaseljunction::Fail(error_kind::kNoQuorum, "The leader has no current quorum.");
+  }
+  if (log_.LastIndex() - commit_index_ >= settings_.uncommitted_records) {
+    return teaseljunction::Fail(error_kind::kOverloaded, "Too many commands wait for commit.");
+  }
+  return {};
+}
+
+result<uint64_t> raft_replica::Propose(std::string data, absl::Time now) {
+  BOOST_LEAF_CHECK(CheckProposal(now));
+  log_record record;
+  record.kind = record_kind::kCommand;
+  record.data = std::move(data);
+  return AppendAsLeader(std::move(record), now);
+}
+
+result<void> raft_replica::CheckChange(absl::Time now) const {
+  BOOST_LEAF_CHECK(CheckProposal(now));
+  // Two changes at once, or one on top of an uncommitted change of an earlier leader, could give
+  // two disjoint majorities. The lease implies that a record of this term is committed.
+  if (log_.ConfigurationIndex() > commit_index_) {
+    return teaseljunction::Fail(error_kind::kNoQuorum, "Another membership change is in progress.");
+  }
+  return {};
+}
+
+result<uint64_t> raft_replica::ProposeChange(const add_learner& change, absl::Time now) {
+  BOOST_LEAF_CHECK(CheckChange(now));
+  if (change.member_id == 0 || change.address.empty()) {
+    return teaseljunction::Fail(error_kind::kMalformedRequest,
+                                "A learner needs a member id and an address.");
+  }
+  if (const group_member* present = FindMember(Configuration(), change.member_id)) {
+    if (present->address == change.address) return 0;
+    return teaseljunction::Fail(error_kind::kMalformedRequest,
+                                "The member is in the group with another address.");
+  }
+  group_configuration next = Configuration();
+  next.push_back({change.member_id, change.address, change.data_centre, false});
+  return AppendConfiguration(std::move(next), now);
+}
+
+result<uint64_t> raft_replica::ProposeChange(const promote& change, absl::Time now) {
+  BOOST_LEAF_CHECK(CheckChange(now));
+  const group_member* present = FindMember(Configuration(), change.member_id);
+  if (present == nullptr) return teaseljunction::Fail(error_kind::kNotFound, "Unknown member id.");
+  if (present->voter) return 0;
+  const auto peer = peers_.find(change.member_id);
+  const bool caught_up =
+      peer != peers_.end() && peer->second.match + settings_.promotion_lag >= log_.LastIndex();
+  if (!caught_up) {
+    return teaseljunction::Fail(error_kind::kNoQuorum, "The learner has not caught up yet.");
+  }
+  group_configuration next = Configuration();
+  for (group_member& member : next) {
+    if (member.member_id == change.member_id) member.voter = true;
+  }
+  return AppendConfiguration(std::move(next), now);
+}
+
+result<uint64_t> raft_replica::ProposeChange(const remove_member& change, absl::Time now) {
+  BOOST_LEAF_CHECK(CheckChange(now));
+  group_configuration next = Configuration();
+  const auto removed = std::remove_if(next.begin(), next.end(), [&](const group_member& member) {
+    return member.member_id == change.member_id;
+  });
+  if (removed == next.end()) {
+    return teaseljunction::Fail(error_kind::kNotFound, "Unknown member id.");
+  }
+  next.erase(removed, next.end());
+  return AppendConfiguration(std::move(next), now);
+}
+
+result<uint64_t> raft_replica::AppendConfiguration(group_configuration configuration,
+                                                   absl::Time now) {
+  size_t voters = 0;
+  size_t reachable = 0;
+  for (const group_member& member : configuration) {
+    if (!member.voter) continue;
+    ++voters;
+    const auto peer = peers_.find(member.member_id);
+    const bool recent =
+        peer != peers_.end() && now - peer->second.acknowledged <= settings_.election_timeout_max;
+    if (member.member_id == state_.member_id || recent) ++reachable;
+  }
+  if (voters == 0) {
+    return teaseljunction::Fail(error_kind::kMalformedRequest, "The last voter cannot be removed.");
+  }
+  if (reachable <= voters / 2) {
+    return teaseljunction::Fail(error_kind::kNoQuorum,
+                                "The changed group would have no reachable majority.");
+  }
+  std::sort(configuration.begin(), configuration.end(),
+            [](const group_member& a, const group_member& b) { return a.member_id < b.member_id; });
+  log_record record;
+  record.kind = record_kind::kConfiguration;
+  record.configuration = std::move(configuration);
+  return AppendAsLeader(std::move(record), now);
+}
+
+raft_output raft_replica::TakeOutput(absl::Time now) {
+  if (role_ == member_role::kLeader) {
+    for (const group_member& member : Configuration()) {
+      const auto peer = peers_.find(member.member_id);
+      if (peer != peers_.end()) SendRecords(member, peer->second, now);
+    }
+  }
+  if (state_changed_) output_.state = state_;
+  state_changed_ = false;
+  while (returned_index_ < commit_index_) {
+    ++returned_index_;
+    output_.committed.push_back(log_.At(returned_index_));
+  }
+  return std::exchange(output_, {});
+}
+
+void raft_replica::Compact(const log_snapshot& snapshot) {
+  log_.Compact(snapshot, settings_.kept_records);
+}
+
+void raft_replica::Fail() {
+  role_ = member_role::kFailed;
+  leader_since_ = absl::InfiniteFuture();
+  output_ = {};
+  state_changed_ = false;
+  returned_index_ = commit_index_;
+}
+
+member_role raft_replica::Role() const {
+  if (role_ == member_role::kFollower && !IsVoter()) return member_role::kLearner;
+  return role_;
+}
+
+absl::Time raft_replica::LeaseUntil(absl::Time now) const {
+  // Until a record of its own term is committed, a leader may not know all committed records.
+  if (role_ != member_role::kLeader || commit_index_ < term_start_index_) {
+    return absl::InfinitePast();
+  }
+  return std::min(QuorumAcknowledged(), now) + settings_.lease;
+}
+
+absl::Time raft_replica::LeaderSince() const { return leader_since_; }
+
+raft_message raft_replica::NewMessage(raft_message_kind kind, uint64_t to) const {
+  raft_message message;
+  message.kind = kind;
+  message.group_id = state_.group_id;
+  message.from = state_.member_id;
+  message.to = to;
+  message.from_address = address_;
+  message.term = state_.term;
+  return message;
+}
+
+void raft_replica::Send(const std::string& address, raft_message message) {
+  output_.messages.push_back({address, std::move(message)});
+}
+
+void raft_replica::Reply(const raft_message& request, raft_message_kind kind, bool accepted,
+                         uint64_t log_index, uint64_t hint) {
+  raft_message response = NewMessage(kind, request.from);
+  response.accepted = accepted;
+  response.log_index = log_index;
+  response.hint = hint;
+  response.sent = request.sent;
+  Send(request.from_address, std::move(response));
+}
+
+bool raft_replica::IsVoter() const {
+  const group_member* self = FindMember(Configuration(), state_.member_id);
+  return self != nullptr && self->voter;
+}
+
+size_t raft_replica::VoterCount() const {
+  return static_cast<size_t>(
+      std::count_if(Configuration().begin(), Configuration().end(),
+                    [](const group_member& member) { return member.voter; }));
+}
+
+}  // namespace teaseljunction
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/span.h"
 #include "common/result.h"
 #include "control/types.h"
 
