Add balancer, quarantine and membership

Cause: entry daemons need target selection, retry and attempt budgets, crash detection and a directory of daemons.

--- /dev/null
+++ b/src/balancer/internal/balancer_state.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "balancer/internal/target_state.h"
+#include "balancer/types.h"
+#include "common/random_source.h"
+
+namespace teaseljunction {
+
+/// Targets and services of a balancer, and the choice of the subset of each service.
+struct balancer_state {
+  std::string daemon_id;
+  std::string data_centre;
+  random_source* random = nullptr;
+  size_t subset_size = 0;
+
+  absl::flat_hash_map<std::string, std::unique_ptr<target_state>> targets;
+  absl::flat_hash_map<std::string, std::unique_ptr<service_state>> services;
+
+  void SetTargets(absl::Span<const balancer_target> announced, absl::Time now);
+
+  target_state* FindTarget(absl::string_view id) const;
+  service_state* FindService(absl::string_view name) const;
+
+ private:
+  void AddTarget(const balancer_target& announced, std::unique_ptr<target_state> known,
+                 absl::Time now);
+  void SelectSubsets(absl::Time now);
+  void SelectSubset(service_state& service) const;
+  uint64_t RendezvousWeight(absl::string_view target_id) const;
+};
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/balancer/tests/balancer_test.cc
@@ -0,0 +1,290 @@
+#include "balancer/balancer.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+
+#include "balancer/internal/balancer_state.h"
+#include "balancer/tests/mocks/fake_service.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr double kRates[] = {20, 500, 5000};
+constexpr overload_level kCriticalOnly = {request_priority::kHigh, 0};
+
+// Sends the failing command to the report; Catch2 prints it with a failed check.
+std::string Reproduce(uint64_t seed) {
+  return "reproduce: balancer_test, seed " + std::to_string(seed);
+}
+
+}  // namespace
+
+// Guards against a faulty target that draws calls because it answers fast, is idle or says so.
+TEST_CASE("a target that differs from the others gets the right part of the calls") {
+  struct row {
+    const char* fault;
+    fake_answer answer;
+    double announced_load;
+    double least;
+    double most;
+  };
+  const absl::Duration usual = absl::Milliseconds(20);
+  const row rows[] = {
+      {"none", {}, 0.5, 0.6, 1.4},
+      {"fails in 1 ms", {attempt_result::kFailed, absl::Milliseconds(1), {}}, 0.5, 0, 0.3},
+      {"refuses in 1 ms", {attempt_result::kRefused, absl::Milliseconds(1), {}}, 0.5, 0, 0.6},
+      {"refuses by level", {attempt_result::kRefused, usual, kCriticalOnly}, 0.5, 0, 0.3},
+      {"slow by 10", {attempt_result::kAnswered, 10 * usual, {}}, 0.5, 0, 0.3},
+      {"hangs", {attempt_result::kFailed, absl::Seconds(5), {}}, 0.5, 0, 0.3},
+      {"claims to be idle", {}, 0, 0.6, 1.8},
+      {"claims to be busy", {}, 1, 0.3, 1.4},
+  };
+  for (const row& fault : rows) {
+    for (const double rate : kRates) {
+      for (uint64_t seed = 1; seed <= 5; ++seed) {
+        fake_service service(seed, 10);
+        for (balancer_target& target : service.targets) target.announced_load = 0.5;
+        service.targets[0].announced_load = fault.announced_load;
+        service.Announce();
+        service.Run(absl::Seconds(2), rate);
+        service.answers[0] = fault.answer;
+        service.Run(absl::Seconds(40000 / rate > 200 ? 200 : 20), rate);
+        INFO(Reproduce(seed) << ", " << fault.fault << " at " << rate << "/s");
+        CHECK(service.Part(0, 1) >= fault.least);
+        CHECK(service.Part(0, 1) <= fault.most);
+      }
+    }
+  }
+}
+
+// Guards against a target that has recovered but gets no calls because of its old observations.
+TEST_CASE("a target that was slow gets calls again") {
+  for (const double rate : kRates) {
+    fake_service service(3, 10);
+    service.answers[0].latency = absl::Milliseconds(200);
+    service.Run(absl::Seconds(20), rate);
+    service.answers[0].latency = absl::Milliseconds(20);
+    service.Run(absl::Seconds(20), rate);
+    service.Run(absl::Seconds(100), rate);
+    INFO(rate << "/s");
+    CHECK(service.Part(0, 1) >= 0.6);
+  }
+}
+
+// Guards against a full load on a target whose caches and pools are still empty.
+TEST_CASE("a cold target ramps up") {
+  for (const bool restart : {false, true}) {
+    for (const double rate : {500.0, 5000.0}) {
+      fake_service service(7, 10);
+      service.Run(absl::Seconds(5), rate);
+      if (restart) service.targets[9].incarnation = 2;
+      if (!restart) service.targets.push_back(MakeTarget(10));
+      service.Announce();
+      const size_t cold = service.targets.size() - 1;
+      service.Run(absl::Seconds(1), rate);
+      CHECK(service.Part(cold, cold + 1) > 0);
+      CHECK(service.Part(cold, cold + 1) < 0.35);
+      service.Run(absl::Seconds(8), rate);
+      CHECK(service.Part(cold, cold + 1) < 0.85);
+      service.Run(absl::Seconds(20), rate);
+      CHECK(service.Part(cold, cold + 1) > 0.75);
+    }
+  }
+}
+
+// Guards against an ejection that takes away more than half of the capacity, and against one that
+// spreads a fault behind the service to its targets.
+TEST_CASE("at most half of the targets are ejected") {
+  for (size_t failing = 1; failing <= 20; ++failing) {
+    std::vector<target_state> targets(20);
+    service_state service;
+    for (target_state& target : targets) service.local.targets.push_back(&target);
+    seeded_random random(failing);
+    size_t most = 0;
+    size_t last = 0;
+    absl::Time now = absl::FromUnixSeconds(1000);
+    for (int result = 0; result < 20000; ++result) {
+      now += absl::Milliseconds(2);
+      const size_t index = random.Below(targets.size());
+      if (targets[index].Ejected(now)) continue;
+      targets[index].RecordResult(index < failing);
+      if (index < failing) service.EjectIfOutlier(targets[index], now);
+      const auto ejected = std::count_if(targets.begin(), targets.end(),
+                                         [now](const auto& target) { return target.Ejected(now); });
+      last = static_cast<size_t>(ejected);
+      most = std::max(most, last);
+    }
+    INFO(failing << " targets fail");
+    CHECK(most <= 10);
+    CHECK(most >= (failing <= 15 ? std::min<size_t>(failing, 10) : 0));
+    if (failing == 20) CHECK(last == 0);
+  }
+}
+
+// Guards against a failing target that is tried again at the full rate.
+TEST_CASE("ejection periods double up to 30 s and start over") {
+  target_state target;
+  absl::Time now = absl::FromUnixSeconds(1000);
+  for (const int seconds : {1, 2, 4, 8, 16, 30, 30}) {
+    CHECK(target.Eject(now) == absl::Seconds(seconds));
+    now = target.ejected_until + absl::Milliseconds(10);
+    target.RecordResult(true);
+    CHECK(target.Failing());
+  }
+  CHECK(target.Eject(now + absl::Minutes(2)) == absl::Seconds(1));
+}
+
+// Guards against a service that gets no calls at all because every target looks bad.
+TEST_CASE("a service is never emptied") {
+  for (const size_t size : {1U, 2U, 3U, 20U}) {
+    fake_service service(size, size);
+    fake_answer& last = service.answers.back();
+    for (fake_answer& answer : service.answers) answer.result = attempt_result::kFailed;
+    last.level = kCriticalOnly;
+    service.Run(absl::Seconds(30), 100);
+    CHECK(std::accumulate(service.counts.begin(), service.counts.end(), 0) > 2000);
+    // Removes the healthy targets beside the ejected ones.
+    last.result = attempt_result::kAnswered;
+    service.Run(absl::Seconds(5), 100);
+    service.targets.erase(service.targets.begin() + 1, service.targets.end());
+    service.Announce();
+    CHECK(service.subject.Choose("stock", request_priority::kLow, 0, {}, service.now));
+  }
+}
+
+// Guards against new work for a target that is leaving, and against a retry on the same target.
+TEST_CASE("draining and excluded targets are not chosen") {
+  fake_service service(1, 3);
+  service.targets[0].draining = true;
+  service.Announce();
+  service.Run(absl::Seconds(2), 500);
+  CHECK(service.counts[0] == 0);
+  CHECK(service.subject.TargetCount("stock") == 3);
+  CHECK(service.subject.TargetCount("other") == 0);
+  const std::vector<std::string> tried = {"daemon-1", "daemon-2"};
+  CHECK_FALSE(service.subject.Choose("stock", request_priority::kCritical, 0, tried, service.now));
+  CHECK_FALSE(service.subject.Choose("other", request_priority::kCritical, 0, {}, service.now));
+}
+
+// Guards against calls that cross data centres without need, or stay where they are refused.
+TEST_CASE("the own data centre is preferred") {
+  struct row {
+    const char* condition;
+    fake_answer local;
+    double least_remote;
+    double most_remote;
+  };
+  const row rows[] = {
+      {"equal", {}, 0, 0.05},
+      {"1 ms slower", {attempt_result::kAnswered, absl::Milliseconds(21), {}}, 0, 0.05},
+      {"10 times slower", {attempt_result::kAnswered, absl::Milliseconds(200), {}}, 0.8, 1},
+      {"failing", {attempt_result::kFailed, absl::Milliseconds(1), {}}, 0.8, 1},
+      // Each of the 5 targets is probed about once a second.
+      {"shedding", {attempt_result::kRefused, absl::Milliseconds(1), kCriticalOnly}, 0.75, 1},
+  };
+  for (const row& fault : rows) {
+    for (const double rate : kRates) {
+      fake_service service(11, 5, 15);
+      service.Run(absl::Seconds(20), rate);
+      for (size_t i = 0; i < 5; ++i) service.answers[i] = fault.local;
+      service.Run(absl::Seconds(10), rate);
+      service.Run(absl::Seconds(20), rate);
+      INFO(fault.condition << " at " << rate << "/s");
+      const double remote = service.Part(5, 20) * 15 / 20;
+      CHECK(remote >= fault.least_remote);
+      CHECK(remote <= fault.most_remote);
+      for (size_t i = 0; i < 5; ++i) service.answers[i] = {};
+      service.Run(absl::Seconds(60), rate);
+      service.Run(absl::Seconds(20), rate);
+      CHECK(service.Part(5, 20) * 15 / 20 <= 0.05);
+    }
+  }
+}
+
+// Guards against entry requests that are let in although every target refuses them, and against an
+// entry that never tries again.
+TEST_CASE("the entry refuses what all targets refuse, until the levels age out") {
+  fake_service service(1, 10);
+  balancer& subject = service.subject;
+  const absl::Time start = service.now;
+  const auto refuse = [&](size_t index, absl::Time now) {
+    subject.Finished(service.targets[index].daemon_id, attempt_result::kRefused,
+                     absl::ZeroDuration(), kCriticalOnly, now);
+  };
+  for (size_t i = 0; i < 9; ++i) refuse(i, start);
+  CHECK(subject.Admits("stock", request_priority::kLow, 0, start));
+  refuse(9, start);
+  CHECK_FALSE(subject.Admits("stock", request_priority::kLow, 0, start));
+  CHECK(subject.Admits("stock", request_priority::kCritical, 0, start));
+  CHECK(subject.Admits("other", request_priority::kLow, 0, start));
+  CHECK_FALSE(subject.Admits("stock", request_priority::kLow, 0, start + absl::Milliseconds(700)));
+  // A probe that is refused again closes the entry again.
+  absl::Time now = start;
+  int probes = 0;
+  for (int step = 0; step < 4000; ++step) {
+    now += absl::Milliseconds(1);
+    const auto choice = subject.Choose("stock", request_priority::kLow, 0, {}, now);
+    if (!subject.Admits("stock", request_priority::kLow, 0, now)) continue;
+    ++probes;
+    refuse(std::stoul(choice->daemon_id.substr(7)), now);
+  }
+  CHECK(probes >= 10);
+  CHECK(probes <= 60);
+}
+
+// Guards against a result that is attributed to a process that did not cause it.
+TEST_CASE("a result of the previous incarnation does not count") {
+  fake_service service(1, 4);
+  service.subject.Started("daemon-0", service.now);
+  service.now += absl::Seconds(1);
+  service.targets[0].incarnation = 2;
+  service.Announce();
+  for (int i = 0; i < 100; ++i) {
+    service.subject.Finished("daemon-0", attempt_result::kFailed, absl::Seconds(2), {},
+                             service.now);
+  }
+  service.now += absl::Seconds(30);
+  service.Run(absl::Seconds(5), 500);
+  CHECK(service.Part(0, 1) > 0.6);
+}
+
+// Guards against targets that few or very many entry daemons send calls to.
+TEST_CASE("subsets spread the load over 680 daemons") {
+  struct row {
+    size_t services;
+    double least;
+    double most;
+  };
+  // The subset contains all local targets of a service of usual size. In one service of 680 each
+  // target is in 15 of 170 subsets on average, with a binomial distribution.
+  for (const row& fleet : {row{20, 0.8, 1.2}, row{1, 0.3, 2.5}}) {
+    std::vector<balancer_target> targets;
+    for (size_t i = 0; i < 680; ++i) {
+      targets.push_back(MakeTarget(i, std::string(1, static_cast<char>('a' + i % 4))));
+      targets.back().service = "service-" + std::to_string(i / 4 % fleet.services);
+    }
+    absl::flat_hash_map<std::string, double> load;
+    for (const balancer_target& entry : targets) {
+      balancer_state state;
+      state.daemon_id = entry.daemon_id;
+      state.data_centre = entry.data_centre;
+      state.subset_size = 20;
+      state.SetTargets(targets, absl::FromUnixSeconds(1000));
+      for (const auto& [name, service] : state.services) {
+        CHECK(service->local.targets.size() + service->remote.targets.size() == 20);
+        const double part = 1.0 / static_cast<double>(service->local.targets.size());
+        for (const target_state* target : service->local.targets) {
+          load[target->target.daemon_id] += part;
+        }
+      }
+    }
+    // Each service gets the load of one call from each of the 680 daemons.
+    const double mean = static_cast<double>(fleet.services);
+    for (const balancer_target& target : targets) {
+      CHECK(load[target.daemon_id] >= fleet.least * mean);
+      CHECK(load[target.daemon_id] <= fleet.most * mean);
+    }
+  }
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/membership/tests/target_lease_test.cc
@@ -0,0 +1,71 @@
+#include "membership/target_lease.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaseljunction {
+namespace {
+
+target_announcement Target(uint64_t incarnation, bool draining = false) {
+  target_announcement target;
+  target.service = "stock";
+  target.incarnation = incarnation;
+  target.draining = draining;
+  return target;
+}
+
+absl::Time At(double seconds) { return absl::FromUnixSeconds(1000) + absl::Seconds(seconds); }
+
+}  // namespace
+
+// Guards against a delayed announcement that brings back a process which has ended or is leaving.
+TEST_CASE("announcements of a target") {
+  struct row {
+    double time;
+    uint64_t incarnation;
+    bool draining;
+    announce_result result;
+    bool drains_afterwards;
+  };
+  const row rows[] = {
+      {0, 5, false, announce_result::kJoined, false},
+      {1, 5, false, announce_result::kRenewed, false},
+      {2, 4, true, announce_result::kOutdated, false},
+      {3, 5, true, announce_result::kRenewed, true},
+      {4, 5, false, announce_result::kRenewed, true},
+      {5, 6, false, announce_result::kReplaced, false},
+      {6, 5, false, announce_result::kOutdated, false},
+      {9.5, 6, false, announce_result::kJoined, false},
+      {20, 5, false, announce_result::kOutdated, false},
+      {20, 7, false, announce_result::kJoined, false},
+  };
+  target_lease lease;
+  for (const row& step : rows) {
+    INFO("at " << step.time);
+    CHECK(lease.Announce(Target(step.incarnation, step.draining), At(step.time)) == step.result);
+    const auto current = lease.Current(At(step.time));
+    if (current) CHECK(current->draining == step.drains_afterwards);
+  }
+  CHECK(lease.Current(At(22.9))->incarnation == 7);
+  CHECK_FALSE(lease.Current(At(23)));
+  CHECK_FALSE(lease.Expire(At(22.9)));
+  CHECK(lease.Expire(At(23)));
+  CHECK_FALSE(lease.Expire(At(24)));
+}
+
+// Guards against new work for a target that has asked for none.
+TEST_CASE("drain and withdraw last for the incarnation") {
+  target_lease lease;
+  lease.Announce(Target(5), At(0));
+  CHECK_FALSE(lease.Drain(4, At(0)));
+  CHECK(lease.Drain(5, At(0)));
+  lease.Announce(Target(5), At(1));
+  CHECK(lease.Current(At(1))->draining);
+  CHECK_FALSE(lease.Withdraw(4));
+  CHECK(lease.Withdraw(5));
+  CHECK(lease.Announce(Target(5), At(1)) == announce_result::kOutdated);
+  CHECK_FALSE(lease.Current(At(1)));
+  CHECK(lease.Announce(Target(6), At(1)) == announce_result::kJoined);
+  CHECK_FALSE(lease.Current(At(1))->draining);
+}
+
+}  // namespace teaseljunction
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -19,11 +19,13 @@
 class crash_tracker {
  public:
   /// Processes one report. Returns the fingerprint when it has to be quarantined: it was in flight
-  /// in crashes of two different targets within 10 minutes, and has not completed since the first
-  /// of them. Each target that reported a completion within the last 10 minutes raises the number
-  /// of targets by one, up to 8, so that a frequent request is not quarantined for being in flight
-  /// when another one crashes its targets. Repeated reports have no further effect, but the
-  /// fingerprint is returned again for each crash report, in case the first proposal was lost.
+  /// in crashes of two different targets within 10 minutes, and has not completed since. A
+  /// completion clears the crashes before it. It also raises the number of targets that are needed
+  /// for 10 minutes: by one for all completions before the first crash together, and by one for
+  /// each target with a later completion, up to 8. So a frequent request is not quarantined for
+  /// being in flight while another one crashes its targets. Repeated reports have no further
+  /// effect, but the fingerprint is returned again for each crash report, in case the first
+  /// proposal was lost.
   absl::optional<std::string> Report(const crash_report& report, absl::Time now);
 
   /// Returns the fingerprints that were in flight in a crash and have not completed since. Daemons
@@ -41,6 +43,8 @@
   struct suspect {
     std::string fingerprint;
     absl::Time updated;
+    /// First crash of the current window, also when it has been cleared.
+    absl::Time first_crash = absl::InfiniteFuture();
     /// Crashes since the last completion, one per target.
     std::vector<sighting> crashes;
     /// Completions, one per target.
@@ -48,6 +52,7 @@
   };
   using suspect_list = std::list<suspect>;
 
+  static size_t TargetsNeeded(const suspect& entry);
   void Expire(absl::Time now);
   suspect& Touch(const std::string& fingerprint, absl::Time now);
 
--- a/src/quarantine/suspect_tracker.h
+++ b/src/quarantine/suspect_tracker.h
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "quarantine/types.h"
 
@@ -34,12 +34,13 @@
   /// reported as completed first.
   std::vector<crash_report> TargetLost(absl::Time now);
 
-  /// Replaces the leader's list of suspects. Those that completed here recently are reported.
+  /// Replaces the list of suspects by the leader's one. The last completion of each, if it was
+  /// recent, is reported.
   void SetSuspects(absl::Span<const std::string> fingerprints, absl::Time now);
 
-  /// Returns the completions of suspects that have not been returned before. They are sent with
-  /// the next sync.
-  std::vector<crash_report> TakeCompleted();
+  /// Returns the last completion of each suspect that completed since the previous call. The owner
+  /// sends them, like the reports of `TargetLost`, until a sync has succeeded.
+  std::vector<crash_report> TakeCompleted(absl::Time now);
 
  private:
   struct flight {
@@ -48,21 +49,21 @@
     uint32_t lost = 0;
   };
 
-  void RecordCompletion(absl::string_view fingerprint, absl::Time now);
+  using completion_times = absl::flat_hash_map<std::string, absl::Time>;
+
   void Rotate(absl::Time now);
-  bool CompletedRecently(absl::string_view fingerprint) const;
-  void ReportCompleted(absl::string_view fingerprint);
+  absl::optional<absl::Time> LastCompletion(absl::string_view fingerprint) const;
 
   std::string daemon_id_;
   absl::flat_hash_map<std::string, flight> flights_;
-  absl::flat_hash_set<std::string> suspects_;
-  /// Fingerprints in `completed_reports_`.
-  absl::flat_hash_set<std::string> reported_;
-  std::vector<crash_report> completed_reports_;
-  /// Completed requests in two generations; the older one is dropped after 5 minutes or when the
+  /// Suspects and the last completion that was reported for each.
+  completion_times suspects_;
+  /// Completions of suspects that have not been returned yet.
+  completion_times pending_;
+  /// Last completions in two generations. The older one is dropped after 5 minutes, or when the
   /// newer one is full.
-  absl::flat_hash_set<std::string> recent_;
-  absl::flat_hash_set<std::string> older_;
+  completion_times recent_;
+  completion_times older_;
   absl::Time rotated_ = absl::InfinitePast();
 };
 
--- /dev/null
+++ b/src/quarantine/tests/quarantine_test.cc
@@ -0,0 +1,165 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "quarantine/crash_tracker.h"
+#include "quarantine/quarantine_list.h"
+#include "quarantine/suspect_tracker.h"
+
+namespace teaseljunction {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+}  // namespace
+
+// Guards against a crashing request that runs on, and against an innocent one that is refused.
+TEST_CASE("reports at the leader") {
+  struct event {
+    int second;
+    const char* target;
+    bool completed;
+    int age;
+  };
+  struct row {
+    const char* name;
+    std::vector<event> events;
+    bool quarantined;
+  };
+  const row rows[] = {
+      {"one target", {{0, "a", false, 0}, {5, "a", false, 0}, {5, "a", false, 0}}, false},
+      {"two targets", {{0, "a", false, 0}, {599, "b", false, 0}}, true},
+      {"too far apart", {{0, "a", false, 0}, {601, "b", false, 0}}, false},
+      {"completed between", {{0, "a", false, 0}, {5, "c", true, 0}, {9, "b", false, 0}}, false},
+      {"repeated after completion",
+       {{0, "a", false, 0}, {5, "c", true, 0}, {6, "a", false, 0}, {6, "a", false, 0}},
+       false},
+      {"completed long before, two crashes",
+       {{0, "a", false, 0}, {9, "a", true, 60}, {9, "b", false, 0}},
+       false},
+      {"completed long before, three crashes",
+       {{0, "a", false, 0}, {9, "a", true, 60}, {9, "b", false, 0}, {10, "c", false, 0}},
+       true},
+      {"completed everywhere long before",
+       {{0, "b", true, 60},
+        {1, "c", true, 60},
+        {1, "d", true, 60},
+        {2, "a", false, 0},
+        {3, "b", false, 0},
+        {4, "c", false, 0}},
+       true},
+  };
+  for (const row& history : rows) {
+    crash_tracker tracker;
+    bool quarantined = false;
+    for (const event& step : history.events) {
+      const crash_report report{"request", step.target, step.completed, absl::Seconds(step.age)};
+      quarantined |= tracker.Report(report, kStart + absl::Seconds(step.second)).has_value();
+    }
+    INFO(history.name);
+    CHECK(quarantined == history.quarantined);
+  }
+}
+
+// Guards against memory that grows with the number of crashing requests.
+TEST_CASE("the table of suspects is bounded") {
+  crash_tracker tracker;
+  for (int i = 0; i < 30000; ++i) {
+    tracker.Report({std::to_string(i), "a", false, {}}, kStart + absl::Milliseconds(i));
+  }
+  CHECK(tracker.Size() == 10000);
+  CHECK(tracker.Suspects(kStart).size() == 10000);
+  CHECK(tracker.Report({"29999", "b", false, {}}, kStart + absl::Minutes(1)) == "29999");
+  CHECK(tracker.Suspects(kStart + absl::Hours(1)).empty());
+  CHECK(tracker.Size() == 0);
+}
+
+// Guards against reports of requests that had ended, and against lost completions.
+TEST_CASE("a daemon reports the requests in flight and their completions") {
+  suspect_tracker tracker("a");
+  tracker.Started("ended", kStart);
+  tracker.Finished("ended", false, kStart);
+  tracker.Started("known", kStart);
+  tracker.Finished("known", true, kStart);
+  tracker.Started("known", kStart);
+  tracker.Started("poison", kStart);
+  tracker.Started("poison", kStart);
+  std::vector<crash_report> reports = tracker.TargetLost(kStart + absl::Seconds(2));
+  REQUIRE(reports.size() == 3);
+  const auto known = std::find_if(reports.begin(), reports.end(),
+                                  [](const auto& report) { return report.completed; });
+  REQUIRE(known != reports.end());
+  CHECK(known->fingerprint == "known");
+  CHECK(known->age == absl::Seconds(2));
+  CHECK((known + 1)->fingerprint == "known");
+  // The lost requests end, and one of them is sent again.
+  tracker.Started("poison", kStart + absl::Seconds(3));
+  for (int i = 0; i < 2; ++i) tracker.Finished("poison", false, kStart + absl::Seconds(3));
+  CHECK(tracker.TakeCompleted(kStart).empty());
+  CHECK(tracker.TargetLost(kStart + absl::Seconds(4)).size() == 1);
+  CHECK(tracker.TargetLost(kStart + absl::Seconds(5)).empty());
+
+  const absl::Time later = kStart + absl::Seconds(10);
+  tracker.Finished("poison", true, later);
+  CHECK(tracker.TakeCompleted(later).size() == 1);
+  tracker.Finished("other", true, later);
+  tracker.SetSuspects({"poison", "other"}, later);
+  reports = tracker.TakeCompleted(later + absl::Seconds(1));
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].fingerprint == "other");
+  CHECK(reports[0].age == absl::Seconds(1));
+  tracker.SetSuspects({"poison", "other"}, later);
+  CHECK(tracker.TakeCompleted(later).empty());
+  tracker.SetSuspects({"known"}, kStart + absl::Minutes(20));
+  CHECK(tracker.TakeCompleted(kStart + absl::Minutes(20)).empty());
+}
+
+// Guards against the quarantine of a frequent lookup that is in flight in every crash, and of the
+// neighbours of a crashing request that complete elsewhere afterwards.
+TEST_CASE("only the crashing requests of a fleet are quarantined") {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("reproduce: quarantine_test, seed " << seed);
+    std::mt19937_64 random(seed);
+    std::vector<suspect_tracker> daemons;
+    for (int i = 0; i < 10; ++i) daemons.emplace_back("daemon-" + std::to_string(i));
+    crash_tracker leader;
+    quarantine_list list;
+    absl::Time now = kStart;
+    const auto send = [&](const std::vector<crash_report>& reports) {
+      for (const crash_report& report : reports) {
+        const auto found = leader.Report(report, now);
+        if (found) list.Add(*found);
+      }
+    };
+    for (int round = 0; round < 40; ++round) {
+      const std::string poison = "poison-" + std::to_string(round);
+      const std::string neighbour = "neighbour-" + std::to_string(round);
+      const size_t first = random() % daemons.size();
+      for (size_t crash = 0; crash < 2; ++crash) {
+        suspect_tracker& crashing = daemons[(first + crash) % daemons.size()];
+        crashing.Started("lookup", now);
+        crashing.Started(poison, now);
+        if (crash == 0) crashing.Started(neighbour, now);
+        send(crashing.TargetLost(now));
+        // Sync rounds: the lookup runs everywhere, the neighbour runs again at one target.
+        for (int sync = 0; sync < 2; ++sync) {
+          now += absl::Seconds(1);
+          for (suspect_tracker& daemon : daemons) daemon.Finished("lookup", true, now);
+          daemons[random() % daemons.size()].Finished(neighbour, true, now);
+          for (suspect_tracker& daemon : daemons) {
+            daemon.SetSuspects(leader.Suspects(now), now);
+            send(daemon.TakeCompleted(now));
+          }
+        }
+      }
+      daemons[(first + 2) % daemons.size()].Started(neighbour, now);
+      send(daemons[(first + 2) % daemons.size()].TargetLost(now));
+      CHECK(list.Contains(poison));
+      CHECK_FALSE(list.Contains(neighbour));
+    }
+    CHECK_FALSE(list.Contains("lookup"));
+    CHECK(list.Size() == 40);
+  }
+}
+
+}  // namespace teaseljunction
--- a/src/quarantine/types.h
+++ b/src/quarantine/types.h
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "absl/time/time.h"
+
 namespace teaseljunction {
 
 /// Reports that a request was in flight on a target when the target's process was lost, or that a
@@ -13,6 +15,8 @@
   std::string target;
   /// True when the request completed at the target, which clears it.
   bool completed = false;
+  /// Time between the crash or the completion and this report.
+  absl::Duration age;
 };
 
 }  // namespace teaseljunction
