Seed the balancer's own random numbers and weigh fast failures

Cause: a number of the cryptographic source took about 1 us, as long as the rest of a choice; a target that refuses in 1 ms drew up to 1.97 times its part at 5,000 calls/s because its in-flight count stays low. Change: SplitMix64 seeded once; attempts that fail faster than they count for are held as load for the rest of that latency.

--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -71,7 +71,7 @@
   balancer_builder& SetDaemonId(std::string daemon_id);
   /// Data centre of the own daemon.
   balancer_builder& SetDataCentre(std::string data_centre);
-  /// Source of random numbers, used once or twice per choice. It must outlive the balancer.
+  /// Source of the seed for the balancer's own random numbers. It is used in `Build` only.
   balancer_builder& SetRandomSource(random_source* random);
   /// Number of targets per service that this daemon sends calls to, 1 to 64. Default 20.
   balancer_builder& SetSubsetSize(size_t subset_size);
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -21,28 +21,6 @@
 constexpr double kTie = 0.05;
 constexpr int kColdDraws = 3;
 
-/// Random numbers of one choice, from one number of the random source (SplitMix64), since a
-/// cryptographic source costs more than the rest of the choice.
-class choice_random {
- public:
-  explicit choice_random(uint64_t seed) : state_(seed) {}
-
-  uint32_t Below(size_t bound) {
-    return static_cast<uint32_t>(((Next() >> 32) * static_cast<uint64_t>(bound)) >> 32);
-  }
-  double Fraction() { return static_cast<double>(Next() >> 11) * 0x1.0p-53; }
-
- private:
-  uint64_t Next() {
-    uint64_t value = (state_ += 0x9e3779b97f4a7c15);
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
-    return value ^ (value >> 31);
-  }
-
-  uint64_t state_;
-};
-
 /// One call that needs a target.
 struct choice_request {
   const service_state& service;
@@ -88,7 +66,7 @@
   }
 
   /// Returns the better one of two random candidates, or null when there is none.
-  target_state* Pick(const choice_request& request, choice_random& random) const {
+  target_state* Pick(const choice_request& request, fast_random& random) const {
     if (size_ == 0) return nullptr;
     const size_t first = Draw(request, random, size_);
     if (size_ == 1) return targets_[0];
@@ -98,7 +76,7 @@
 
  private:
   // Returns the index of a random candidate other than `taken`. A cold target is drawn less often.
-  size_t Draw(const choice_request& request, choice_random& random, size_t taken) const {
+  size_t Draw(const choice_request& request, fast_random& random, size_t taken) const {
     size_t index = 0;
     for (int draw = 0; draw < kColdDraws; ++draw) {
       index = random.Below(taken < size_ ? size_ - 1 : size_);
@@ -123,7 +101,7 @@
   return gain > std::max(kRemoteGain, kRemoteGainPart * local);
 }
 
-target_state* PickTarget(const choice_request& request, choice_random& random) {
+target_state* PickTarget(const choice_request& request, fast_random& random) {
   const service_state& service = request.service;
   const candidate_list usable(request, service.local, &choice_request::Usable);
   target_state* choice = usable.Pick(request, random);
@@ -166,9 +144,8 @@
                                                absl::Time now) {
   const service_state* known = state_->FindService(service);
   if (known == nullptr) return absl::nullopt;
-  choice_random random(state_->random->Next());
   const choice_request request{*known, priority, cohort, excluded_daemon_ids, now};
-  const target_state* chosen = PickTarget(request, random);
+  const target_state* chosen = PickTarget(request, state_->random);
   if (chosen == nullptr) return absl::nullopt;
   return target_choice{chosen->target.daemon_id, chosen->target.address, chosen->other_data_centre};
 }
@@ -236,7 +213,7 @@
   auto state = std::make_unique<balancer_state>();
   state->daemon_id = std::move(daemon_id_);
   state->data_centre = std::move(data_centre_);
-  state->random = random_;
+  state->random = fast_random(random_->Next());
   state->subset_size = subset_size_;
   return balancer(std::move(state));
 }
--- a/src/balancer/internal/balancer_state.h
+++ b/src/balancer/internal/balancer_state.h
@@ -10,9 +10,9 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
+#include "balancer/internal/fast_random.h"
 #include "balancer/internal/target_state.h"
 #include "balancer/types.h"
-#include "common/random_source.h"
 
 namespace teaseljunction {
 
@@ -20,7 +20,7 @@
 struct balancer_state {
   std::string daemon_id;
   std::string data_centre;
-  random_source* random = nullptr;
+  fast_random random;
   size_t subset_size = 0;
 
   absl::flat_hash_map<std::string, std::unique_ptr<target_state>> targets;
--- a/src/balancer/internal/target_state.cc
+++ b/src/balancer/internal/target_state.cc
@@ -76,10 +76,11 @@
   return count * std::exp(-std::max(0.0, absl::ToDoubleSeconds(now - updated)) / seconds);
 }
 
-void held_attempts::Add(double counted_seconds, absl::Time now) {
+void held_attempts::Add(double rest_seconds, absl::Time now) {
+  if (rest_seconds <= 0) return;
   count = At(now) + 1;
   updated = now;
-  seconds = counted_seconds;
+  seconds = rest_seconds;
 }
 
 double target_state::Ramp(absl::Time now) const {
@@ -146,7 +147,7 @@
   if (result == attempt_result::kFailed || result == attempt_result::kRefused) {
     const bool failed = result == attempt_result::kFailed;
     sample = std::max(sample, (failed ? kFailurePenalty : kRefusalPenalty) * Baseline());
-    target.held.Add(sample, now);
+    target.held.Add(sample - seconds, now);
   }
   Sample(target.latency, expected, sample, now, kTargetAveraging);
   target_group& group = target.other_data_centre ? remote : local;
--- a/src/balancer/internal/target_state.h
+++ b/src/balancer/internal/target_state.h
@@ -21,15 +21,15 @@
   double At(absl::Time now, double rest, absl::Duration half_life) const;
 };
 
-/// Attempts that ended faster than they are counted as. Each one decays with the latency that it
-/// counts as, so that their number is the one that would be in flight at that latency.
+/// Failed attempts that ended faster than the latency that they count as. Each one decays over the
+/// rest of that latency, so that the target seems as busy as a target that is really that slow.
 struct held_attempts {
   double count = 0;
   absl::Time updated = absl::InfinitePast();
   double seconds = 0;
 
   double At(absl::Time now) const;
-  void Add(double counted_seconds, absl::Time now);
+  void Add(double rest_seconds, absl::Time now);
 };
 
 /// What an entry daemon has observed of one target.
