Add strict decoding, comparison and lookup tables of manifests

Cap'n Proto's JSON decoder reports no place for a fault and accepts duplicate fields, so a manifest with a typing error could be accepted or refused without a hint. A syntax check and a check against the schema now run before the decoder, and a validation after it; each names the place. The canonical text is limited as well, because left out fields make it longer than the input. Route lookups decode unreserved characters and refuse dot segments, so that a prefix route that is open to all gives no access to the paths of other routes.

--- /dev/null
+++ b/src/manifest/internal/manifest_codec.cc
@@ -0,0 +1,163 @@
+#include "manifest/manifest_codec.h"
+
+#include <capnp/compat/json.h>
+#include <capnp/message.h>
+#include <kj/exception.h>
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "common/digest.h"
+#include "manifest.capnp.h"
+#include "manifest/internal/json_schema_check.h"
+#include "manifest/internal/json_text_check.h"
+#include "manifest/internal/manifest_validation.h"
+
+namespace teaseljunction {
+namespace {
+
+std::string ToString(capnp::Text::Reader text) { return {text.begin(), text.size()}; }
+
+client_account ReadAccount(schema::ClientAccount::Reader reader) {
+  client_account account;
+  account.name = ToString(reader.getName());
+  account.rate = reader.getRate();
+  account.burst = reader.getBurst();
+  for (auto digest : reader.getKeyDigests()) account.key_digests.push_back(ToString(digest));
+  return account;
+}
+
+service ReadService(schema::Service::Reader reader) {
+  service read;
+  read.name = ToString(reader.getName());
+  read.max_concurrency = reader.getMaxConcurrency();
+  read.retry_ratio = reader.getRetryRatio();
+  return read;
+}
+
+route ReadRoute(schema::Route::Reader reader) {
+  route read;
+  read.name = ToString(reader.getName());
+  read.method = ToString(reader.getMethod());
+  read.path = ToString(reader.getPath());
+  read.service = ToString(reader.getService());
+  read.priority = static_cast<request_priority>(reader.getPriority());
+  read.idempotent = reader.getIdempotent();
+  read.open = reader.getOpen();
+  read.timeout = absl::Milliseconds(reader.getTimeoutMs());
+  read.max_attempts = reader.getMaxAttempts();
+  return read;
+}
+
+manifest ReadManifest(schema::Manifest::Reader reader) {
+  manifest read;
+  read.version = reader.getVersion();
+  for (auto account : reader.getClientAccounts()) {
+    read.client_accounts.push_back(ReadAccount(account));
+  }
+  for (auto entry : reader.getServices()) read.services.push_back(ReadService(entry));
+  for (auto entry : reader.getRoutes()) read.routes.push_back(ReadRoute(entry));
+  return read;
+}
+
+void WriteAccount(const client_account& account, schema::ClientAccount::Builder builder) {
+  builder.setName(account.name.c_str());
+  builder.setRate(account.rate);
+  builder.setBurst(account.burst);
+  auto digests = builder.initKeyDigests(account.key_digests.size());
+  for (size_t i = 0; i < account.key_digests.size(); ++i) {
+    digests.set(i, account.key_digests[i].c_str());
+  }
+}
+
+void WriteRoute(const route& source, schema::Route::Builder builder) {
+  builder.setName(source.name.c_str());
+  builder.setMethod(source.method.c_str());
+  builder.setPath(source.path.c_str());
+  builder.setService(source.service.c_str());
+  builder.setPriority(static_cast<schema::Priority>(source.priority));
+  builder.setIdempotent(source.idempotent);
+  builder.setOpen(source.open);
+  builder.setTimeoutMs(absl::ToInt64Milliseconds(source.timeout));
+  builder.setMaxAttempts(source.max_attempts);
+}
+
+void WriteManifest(const manifest& source, schema::Manifest::Builder builder) {
+  builder.setVersion(source.version);
+  auto accounts = builder.initClientAccounts(source.client_accounts.size());
+  for (size_t i = 0; i < source.client_accounts.size(); ++i) {
+    WriteAccount(source.client_accounts[i], accounts[i]);
+  }
+  auto services = builder.initServices(source.services.size());
+  for (size_t i = 0; i < source.services.size(); ++i) {
+    services[i].setName(source.services[i].name.c_str());
+    services[i].setMaxConcurrency(source.services[i].max_concurrency);
+    services[i].setRetryRatio(source.services[i].retry_ratio);
+  }
+  auto routes = builder.initRoutes(source.routes.size());
+  for (size_t i = 0; i < source.routes.size(); ++i) WriteRoute(source.routes[i], routes[i]);
+}
+
+// Throws kj::Exception. Returns a fault instead of a manifest where a check finds one.
+absl::optional<std::string> DecodeChecked(absl::string_view json, manifest& decoded) {
+  capnp::JsonCodec codec;
+  codec.setRejectUnknownFields(true);
+  capnp::MallocMessageBuilder value_message;
+  auto value = value_message.initRoot<capnp::JsonValue>();
+  codec.decodeRaw(kj::arrayPtr(json.data(), json.size()), value);
+  const auto type = capnp::Schema::from<schema::Manifest>();
+  if (auto fault = FindJsonSchemaFault(value.asReader(), type)) return fault;
+
+  capnp::MallocMessageBuilder message;
+  auto builder = message.initRoot<schema::Manifest>();
+  codec.decode(value.asReader(), capnp::DynamicStruct::Builder(builder));
+  decoded = ReadManifest(builder.asReader());
+  return FindManifestFault(decoded);
+}
+
+}  // namespace
+
+result<manifest> DecodeManifest(absl::string_view json) {
+  if (json.size() > kMaxManifestBytes) {
+    return Fail(error_kind::kManifestInvalid,
+                absl::StrCat("manifest: the text has ", json.size(), " bytes; the limit is ",
+                             kMaxManifestBytes));
+  }
+  if (auto fault = FindJsonTextFault(json)) return Fail(error_kind::kManifestInvalid, *fault);
+  manifest decoded;
+  absl::optional<std::string> fault;
+  const auto thrown = kj::runCatchingExceptions([&] { fault = DecodeChecked(json, decoded); });
+  KJ_IF_MAYBE (exception, thrown) {
+    const kj::StringPtr reason = exception->getDescription();
+    return Fail(error_kind::kManifestInvalid, absl::StrCat("manifest: ", reason.cStr()));
+  }
+  if (fault.has_value()) return Fail(error_kind::kManifestInvalid, *fault);
+  // The canonical text has every field, so it can be longer than the text that was read.
+  const size_t canonical_size = EncodeManifest(decoded).size();
+  if (canonical_size > kMaxManifestBytes) {
+    return Fail(error_kind::kManifestInvalid,
+                absl::StrCat("manifest: the canonical text has ", canonical_size,
+                             " bytes; the limit is ", kMaxManifestBytes));
+  }
+  return decoded;
+}
+
+std::string EncodeManifest(const manifest& source) {
+  capnp::MallocMessageBuilder message;
+  auto builder = message.initRoot<schema::Manifest>();
+  WriteManifest(source, builder);
+  capnp::JsonCodec codec;
+  capnp::MallocMessageBuilder value_message;
+  auto value = value_message.initRoot<capnp::JsonValue>();
+  codec.encode(builder.asReader(), value);
+  // The codec writes 64-bit integers as strings; versions are written as numbers.
+  for (auto field : value.getObject()) {
+    if (field.getName() == "version") field.getValue().setNumber(source.version);
+  }
+  const kj::String text = codec.encodeRaw(value);
+  return {text.begin(), text.size()};
+}
+
+std::string ManifestDigest(const manifest& source) { return Sha256Hex(EncodeManifest(source)); }
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/manifest/internal/manifest_index.cc
@@ -0,0 +1,124 @@
+#include "manifest/manifest_index.h"
+
+#include <algorithm>
+#include <array>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/types/optional.h"
+#include "manifest/manifest_codec.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr std::array<absl::string_view, 6> kMethods = {"GET", "HEAD",  "POST",
+                                                       "PUT", "PATCH", "DELETE"};
+
+bool IsUnreserved(char byte) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(byte)) || absl::StrContains("-._~", byte);
+}
+
+// Decodes percent-encoded unreserved characters (RFC 3986, section 6.2.2.2). Returns nothing when
+// the encoding is broken.
+absl::optional<std::string> DecodeUnreserved(absl::string_view path) {
+  std::string decoded;
+  decoded.reserve(path.size());
+  for (size_t i = 0; i < path.size(); ++i) {
+    if (path[i] != '%') {
+      decoded.push_back(path[i]);
+      continue;
+    }
+    const absl::string_view digits = path.substr(std::min(i + 1, path.size()), 2);
+    uint32_t code = 0;
+    if (digits.size() != 2 || !absl::ascii_isxdigit(static_cast<unsigned char>(digits[0])) ||
+        !absl::SimpleHexAtoi(digits, &code)) {
+      return absl::nullopt;
+    }
+    const char byte = static_cast<char>(code);
+    if (IsUnreserved(byte)) {
+      decoded.push_back(byte);
+    } else {
+      absl::StrAppend(&decoded, path.substr(i, 3));
+    }
+    i += 2;
+  }
+  return decoded;
+}
+
+bool HasDotOrEmptySegment(absl::string_view path) {
+  return absl::StrContains(path, "//") || absl::StrContains(path, "/./") ||
+         absl::StrContains(path, "/../") || absl::EndsWith(path, "/.") ||
+         absl::EndsWith(path, "/..");
+}
+
+}  // namespace
+
+manifest_index::manifest_index(manifest source)
+    : manifest_(std::move(source)), digest_(ManifestDigest(manifest_)) {
+  for (const client_account& account : manifest_.client_accounts) {
+    accounts_.emplace(account.name, &account);
+    for (const std::string& digest : account.key_digests) {
+      accounts_by_key_.emplace(digest, &account);
+    }
+  }
+  for (const service& entry : manifest_.services) services_.emplace(entry.name, &entry);
+  for (const route& entry : manifest_.routes) {
+    absl::string_view path = entry.path;
+    const bool prefix = absl::EndsWith(path, "/*");
+    if (prefix) path.remove_suffix(1);
+    (prefix ? prefix_routes_ : exact_routes_).emplace(route_key(path, entry.method), &entry);
+    if (prefix) longest_prefix_ = std::max(longest_prefix_, path.size());
+  }
+}
+
+const client_account* manifest_index::FindAccountByKeyDigest(absl::string_view digest) const {
+  const auto found = accounts_by_key_.find(digest);
+  return found == accounts_by_key_.end() ? nullptr : found->second;
+}
+
+const client_account* manifest_index::FindAccount(absl::string_view name) const {
+  const auto found = accounts_.find(name);
+  return found == accounts_.end() ? nullptr : found->second;
+}
+
+const service* manifest_index::FindService(absl::string_view name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+const route* manifest_index::FindNormalised(absl::string_view method,
+                                            absl::string_view path) const {
+  const auto exact = exact_routes_.find(route_key(path, method));
+  if (exact != exact_routes_.end()) return exact->second;
+  // Bounds the work for long paths: no prefix is longer than the longest one of the manifest.
+  absl::string_view prefix = path.substr(0, longest_prefix_);
+  while (true) {
+    const size_t slash = prefix.rfind('/');
+    if (slash == absl::string_view::npos) return nullptr;
+    prefix = prefix.substr(0, slash + 1);
+    const auto found = prefix_routes_.find(route_key(prefix, method));
+    if (found != prefix_routes_.end()) return found->second;
+    prefix.remove_suffix(1);
+  }
+}
+
+route_match manifest_index::FindRoute(absl::string_view method, absl::string_view path) const {
+  route_match match;
+  const absl::optional<std::string> decoded = DecodeUnreserved(path);
+  if (!decoded.has_value() || HasDotOrEmptySegment(*decoded)) return match;
+  match.matched = FindNormalised(method, *decoded);
+  if (match.matched != nullptr) {
+    match.target_service = FindService(match.matched->service);
+    return match;
+  }
+  for (const absl::string_view other : kMethods) {
+    if (FindNormalised(other, *decoded) == nullptr) continue;
+    absl::StrAppend(&match.allow, match.allow.empty() ? "" : ", ", other);
+  }
+  if (!match.allow.empty()) match.failure = error_kind::kMethodNotAllowed;
+  return match;
+}
+
+}  // namespace teaseljunction
--- a/src/manifest/manifest_diff.h
+++ b/src/manifest/manifest_diff.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
