--- a/src/common/internal/sockets.cc
+++ b/src/common/internal/sockets.cc
@@ -86,10 +86,8 @@
   // Drops segments with SYN and without ACK. The filter sees the segment from its TCP header on,
   // whose byte 13 holds the flags.
   sock_filter code[] = {
-      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
-      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, 0x12),
-      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, 0x02, 0, 1),
-      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),          BPF_STMT(BPF_ALU | BPF_AND | BPF_K, 0x12),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, 0x02, 0, 1), BPF_STMT(BPF_RET | BPF_K, 0),
       BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
   };
   const sock_fprog program = {static_cast<unsigned short>(std::size(code)), code};
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -29,8 +29,8 @@
 }
 
 long Milliseconds(absl::Duration duration) {
-  const int64_t milliseconds = absl::ToInt64Milliseconds(absl::Ceil(duration,
-                                                                    absl::Milliseconds(1)));
+  const int64_t milliseconds =
+      absl::ToInt64Milliseconds(absl::Ceil(duration, absl::Milliseconds(1)));
   return static_cast<long>(std::clamp<int64_t>(milliseconds, 1, int64_t{1} << 30));
 }
 
@@ -50,9 +50,8 @@
   if (!IsToken(request_.method) || path.empty() || path[0] != '/') return false;
   if (!IsHeaderText(path) || absl::StrContains(path, ' ')) return false;
   return std::all_of(
-      request_.headers.begin(), request_.headers.end(), [](const http_header& header) {
-        return IsToken(header.name) && IsHeaderText(header.value);
-      });
+      request_.headers.begin(), request_.headers.end(),
+      [](const http_header& header) { return IsToken(header.name) && IsHeaderText(header.value); });
 }
 
 void curl_transfer::Prepare(curl_easy_handle easy, const curl_client_settings& settings) {
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -90,13 +90,13 @@
 }
 
 MHD_Daemon* http_server::impl::StartDaemon() {
-  const auto timeout = static_cast<unsigned>(
-      std::max<int64_t>(absl::ToInt64Seconds(absl::Ceil(settings_.idle_timeout, absl::Seconds(1))),
-                        1));
+  const auto timeout = static_cast<unsigned>(std::max<int64_t>(
+      absl::ToInt64Seconds(absl::Ceil(settings_.idle_timeout, absl::Seconds(1))), 1));
   // The value 1 is refused with a warning; without the option there is one thread.
   std::vector<MHD_OptionItem> pool;
   if (settings_.threads > 1) {
-    pool.push_back({MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(settings_.threads), nullptr});
+    pool.push_back(
+        {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(settings_.threads), nullptr});
   }
   pool.push_back({MHD_OPTION_END, 0, nullptr});
   return MHD_start_daemon(
@@ -221,13 +221,11 @@
   return Queue(connection, false, ProblemResponse(failure, ""));
 }
 
-MHD_Result http_server::impl::Queue(MHD_Connection* connection, bool head,
-                                    http_response response) {
+MHD_Result http_server::impl::Queue(MHD_Connection* connection, bool head, http_response response) {
   if (response.status < 200 || response.status > 599) {
     response = ProblemResponse({error_kind::kInternal, "status out of range"}, "");
   }
-  MHD_Response* created = head ? HeadResponse(response)
-                                                   : BodyResponse(std::move(response.body));
+  MHD_Response* created = head ? HeadResponse(response) : BodyResponse(std::move(response.body));
   if (created == nullptr) return MHD_NO;
   for (const http_header& header : response.headers) {
     if (IsTransferHeader(header.name)) continue;
--- a/src/http/internal/problem.cc
+++ b/src/http/internal/problem.cc
@@ -42,11 +42,11 @@
   http_response response;
   response.status = answer.status;
   response.headers.push_back({"Content-Type", "application/problem+json"});
-  response.headers.push_back({"Teaseljunction-Outcome",
-                              answer.run == run_state::kNotRun ? "not-run" : "may-have-run"});
+  response.headers.push_back(
+      {"Teaseljunction-Outcome", answer.run == run_state::kNotRun ? "not-run" : "may-have-run"});
   if (answer.retry_after) {
-    const absl::Duration wait = absl::Ceil(retry_after.value_or(kDefaultRetryAfter),
-                                           absl::Seconds(1));
+    const absl::Duration wait =
+        absl::Ceil(retry_after.value_or(kDefaultRetryAfter), absl::Seconds(1));
     const int64_t seconds = std::max<int64_t>(absl::ToInt64Seconds(wait), 1);
     response.headers.push_back({"Retry-After", absl::StrCat(seconds)});
   }
--- a/src/http/internal/server_request.cc
+++ b/src/http/internal/server_request.cc
@@ -36,10 +36,7 @@
 
 server_request::server_request(uint64_t id, MHD_Connection* connection,
                                std::shared_ptr<disconnect_watcher> watcher)
-    : id_(id),
-      connection_(connection),
-      fd_(SocketOf(connection)),
-      watcher_(std::move(watcher)) {}
+    : id_(id), connection_(connection), fd_(SocketOf(connection)), watcher_(std::move(watcher)) {}
 
 bool server_request::AppendBody(absl::string_view data, size_t limit) {
   if (!refusal && data.size() > limit - message.body.size()) {
