Test the control group under failures

Cause: the replicated log has to keep its invariants when members are killed, frozen, cut off or lose their disks, at any step.

--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -144,6 +144,8 @@
   /// least the size of the last snapshot.
   uint64_t snapshot_records = 10'000;
   uint64_t snapshot_bytes = 8 * 1024 * 1024;
+  /// Records kept in memory after a snapshot, so that a short absence of a member needs none.
+  uint64_t kept_records = 1000;
   replicated_state_limits limits;
 };
 
--- a/src/control/internal/frame.cc
+++ b/src/control/internal/frame.cc
@@ -55,10 +55,10 @@
     const size_t rest_written = written > scan.valid_bytes ? written - scan.valid_bytes : 0;
     // A header or a frame that ends in zeros up to the end of the file was not written whole.
     scan.end = frame_scan::ending::kCutOff;
-    if (rest.size() < kHeaderBytes || rest_written <= kLengthBytes) return scan;
+    if (rest.size() < kHeaderBytes) return scan;
     const absl::string_view length = rest.substr(0, kLengthBytes);
     if (LengthCheck(length) != ReadNumber(rest.substr(kLengthBytes), kLengthBytes)) {
-      scan.end = frame_scan::ending::kDamaged;
+      if (rest_written >= kHeaderBytes) scan.end = frame_scan::ending::kDamaged;
       return scan;
     }
     const size_t body_bytes = ReadNumber(length, kLengthBytes);
--- a/src/control/internal/member_core.cc
+++ b/src/control/internal/member_core.cc
@@ -71,7 +71,9 @@
 
 void member_core::StartReplica(stored_log stored, absl::Time now) {
   const absl::optional<log_snapshot> snapshot = stored.snapshot;
-  replica_.emplace(raft_settings(), std::move(stored), settings_.address, random_, now);
+  raft_settings settings;
+  settings.kept_records = settings_.kept_records;
+  replica_.emplace(settings, std::move(stored), settings_.address, random_, now);
   if (snapshot) Restore(*snapshot);
 }
 
--- /dev/null
+++ b/src/control/tests/group_failure_test.cc
@@ -0,0 +1,183 @@
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "control/tests/mocks/test_group.h"
+
+namespace teaseljunction {
+namespace {
+
+void LossyLink(test_group& group) {
+  group.faults = {0.2, 0.2, absl::Milliseconds(200)};
+  group.Run(absl::Seconds(20));
+}
+
+void FrozenMembers(test_group& group) {
+  for (int round = 0; round < 2; ++round) {
+    const int leader = group.Leader();
+    group.Freeze(leader >= 0 ? leader : group.RandomNode(), absl::Minutes(1));
+    group.Run(absl::Seconds(62));
+  }
+}
+
+void KillsWithinBatches(test_group& group) {
+  for (int round = 0; round < 20; ++round) {
+    const int node = group.RandomNode();
+    group.KillWithinBatch(node);
+    group.Run(absl::Milliseconds(300 + group.Random().Below(1500)));
+    group.Heal();
+  }
+}
+
+// All members at once, so that nothing survives but what is on disk.
+void KillsOfAll(test_group& group) {
+  for (int round = 0; round < 8; ++round) {
+    for (int node = 0; node < group.Size(); ++node) group.KillWithinBatch(node);
+    group.Run(absl::Milliseconds(200 + group.Random().Below(800)));
+    group.Heal();
+    group.Run(absl::Seconds(2));
+  }
+}
+
+void LostFolderThenSecondLoss(test_group& group) {
+  const int lost = group.RandomNode();
+  const uint64_t old_id = group.MemberId(lost);
+  group.Kill(lost);
+  group.LoseFolder(lost);
+  group.Run(absl::Seconds(3));
+  group.Restart(lost);
+  group.Replace(lost, old_id);
+  const int second = (lost + 1) % group.Size();
+  group.Kill(second);
+  group.Run(absl::Seconds(3));
+  group.Heal({second});
+}
+
+void DiskErrors(test_group& group) {
+  for (int round = 0; round < 5; ++round) {
+    const int node = group.RandomNode();
+    const auto fault = static_cast<disk_fault>(group.Random().Below(3));
+    group.Disk(node).FailAfter(group.Random().Below(40), fault);
+    group.RunUntil("a storage failure", [&] {
+      group.Run(absl::Milliseconds(100));
+      return group.Core(node)->View().status.role == member_role::kFailed;
+    });
+    group.Run(absl::Seconds(1));
+    group.Heal();
+  }
+}
+
+void BitFlipThenReplacement(test_group& group) {
+  const int damaged = group.RandomNode();
+  const uint64_t old_id = group.MemberId(damaged);
+  group.Kill(damaged);
+  group.Disk(damaged).FlipBit();
+  group.Run(absl::Seconds(1));
+  group.Restart(damaged);
+  if (group.Core(damaged)->View().status.role != member_role::kFailed) {
+    throw invariant_violation{"a damaged journal was accepted"};
+  }
+  group.Run(absl::Seconds(2));
+  group.Kill(damaged);
+  group.LoseFolder(damaged);
+  group.Restart(damaged);
+  group.Replace(damaged, old_id);
+}
+
+void IsolatedLeader(test_group& group) {
+  for (int round = 0; round < 6; ++round) {
+    const int leader = group.Leader();
+    const uint64_t directions = 1 + group.Random().Below(3);
+    if (leader >= 0) group.Isolate(leader, (directions & 1) != 0, (directions & 2) != 0);
+    group.Run(absl::Seconds(5));
+    // With one member cut off, the others must elect a leader that can commit.
+    group.RunUntil("a leader besides the isolated one", [&] { return group.Leader() >= 0; });
+    group.Heal();
+    group.Run(absl::Seconds(1));
+  }
+}
+
+void RestartAfterManyChanges(test_group& group) {
+  const int behind = group.RandomNode();
+  group.Kill(behind);
+  group.RunUntil("500 changes", [&] {
+    const int leader = group.Leader();
+    return leader >= 0 && group.Core(leader)->State().AppliedIndex() > 500;
+  });
+  group.Heal();
+}
+
+void EverythingAtOnce(test_group& group) {
+  group.faults = {0.05, 0.05, absl::Milliseconds(60)};
+  for (int round = 0; round < 15; ++round) {
+    const int node = group.RandomNode();
+    const uint64_t choice = group.Random().Below(4);
+    if (choice == 0) group.KillWithinBatch(node);
+    if (choice == 1) group.Freeze(node, absl::Seconds(group.Random().Below(4)));
+    if (choice == 2) group.Block(node, group.RandomNode(), true);
+    if (choice == 3) group.Heal();
+    group.Run(absl::Milliseconds(group.Random().Below(3000)));
+  }
+}
+
+struct scenario {
+  absl::string_view name;
+  void (*run)(test_group&);
+};
+
+constexpr scenario kScenarios[] = {
+    {"lossy link", LossyLink},
+    {"frozen members", FrozenMembers},
+    {"kills within batches", KillsWithinBatches},
+    {"kills of all members", KillsOfAll},
+    {"lost folder, then a second loss", LostFolderThenSecondLoss},
+    {"disk errors", DiskErrors},
+    {"bit flip, then replacement", BitFlipThenReplacement},
+    {"isolated leader", IsolatedLeader},
+    {"restart after many changes", RestartAfterManyChanges},
+    {"everything at once", EverythingAtOnce},
+};
+
+std::string RunSeed(uint64_t seed) {
+  const scenario& chosen = kScenarios[seed % std::size(kScenarios)];
+  try {
+    test_group group(seed / std::size(kScenarios) % 2 == 0 ? 3 : 5, seed);
+    // Bootstrap has to work under the same link faults as everything else.
+    group.faults = {0.1, 0.1, absl::Milliseconds(50)};
+    group.RunUntil("a first leader", [&] { return group.Leader() >= 0; });
+    group.faults = {};
+    group.Run(absl::Seconds(1));
+    chosen.run(group);
+    if (chosen.run != LostFolderThenSecondLoss) group.Heal();
+    group.CheckProgress();
+  } catch (const invariant_violation& violation) {
+    return absl::StrCat(chosen.name, ": ", violation.what);
+  }
+  return {};
+}
+
+uint64_t NumberFromEnvironment(const char* name, uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+}  // namespace
+
+// Guards against every violation that test_group checks, in each failure scenario.
+// TEASELJUNCTION_SEEDS sets the number of seeds and TEASELJUNCTION_SEED the first one.
+TEST_CASE("the group keeps its invariants under failures") {
+  const uint64_t first = NumberFromEnvironment("TEASELJUNCTION_SEED", 0);
+  const uint64_t count = NumberFromEnvironment("TEASELJUNCTION_SEEDS", 300);
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    const std::string violation = RunSeed(seed);
+    INFO("repeat with: TEASELJUNCTION_SEED=" << seed
+                                             << " TEASELJUNCTION_SEEDS=1 control_test \"the group "
+                                                "keeps its invariants under failures\"");
+    INFO(violation);
+    CHECK(violation.empty());
+  }
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/control/tests/mocks/memory_file_system.cc
@@ -0,0 +1,148 @@
+#include "control/tests/mocks/memory_file_system.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaseljunction {
+
+class memory_append_file : public append_file {
+ public:
+  memory_append_file(memory_file_system& files, std::shared_ptr<memory_file_system::file> target)
+      : files_(files), target_(std::move(target)) {}
+
+  result<size_t> Write(absl::string_view data) override {
+    const bool fails = files_.faulty_ && files_.remaining_ == 0;
+    if (fails && files_.fault_ == disk_fault::kHalfWritten) {
+      target_->content.append(data.data(), data.size() / 2);
+    }
+    size_t written = 0;
+    BOOST_LEAF_CHECK(files_.Operate([&] {
+      // Short writes are allowed at any time.
+      written = 1 + files_.random_.Below(data.size());
+      target_->content.append(data.data(), written);
+    }));
+    return written;
+  }
+
+  result<void> Sync() override {
+    return files_.Operate([&] {
+      ++files_.syncs_;
+      target_->synced = target_->content.size();
+    });
+  }
+
+ private:
+  memory_file_system& files_;
+  std::shared_ptr<memory_file_system::file> target_;
+};
+
+namespace {
+
+class memory_lock : public folder_lock {
+ public:
+  explicit memory_lock(bool& locked) : locked_(locked) { locked_ = true; }
+  ~memory_lock() override { locked_ = false; }
+
+ private:
+  bool& locked_;
+};
+
+}  // namespace
+
+template <class Change>
+result<void> memory_file_system::Operate(Change&& change) {
+  if (faulty_ && remaining_ == 0) {
+    if (!failed_ && fault_ == disk_fault::kAfterOperation) change();
+    failed_ = true;
+    return Fail(error_kind::kStorageFailed, "injected");
+  }
+  if (faulty_) --remaining_;
+  change();
+  return {};
+}
+
+void memory_file_system::FailAfter(uint64_t operations, disk_fault fault) {
+  remaining_ = operations;
+  fault_ = fault;
+  faulty_ = true;
+  failed_ = false;
+}
+
+void memory_file_system::Crash() {
+  files_ = history_[random_.Below(history_.size())];
+  for (auto& [name, entry] : files_) {
+    const size_t unsynced = entry->content.size() - entry->synced;
+    entry->content.resize(entry->synced + random_.Below(unsynced + 1));
+    // Some file systems extend a file before its data arrives.
+    if (unsynced > 0 && random_.Below(4) == 0) entry->content.append(random_.Below(600), '\0');
+    entry->synced = entry->content.size();
+  }
+  history_ = {files_};
+  faulty_ = false;
+  failed_ = false;
+}
+
+void memory_file_system::FlipBit() {
+  std::vector<file*> candidates;
+  for (auto& [name, entry] : files_) {
+    if (!entry->content.empty()) candidates.push_back(entry.get());
+  }
+  std::string& content = candidates[random_.Below(candidates.size())]->content;
+  content[random_.Below(content.size())] ^= static_cast<char>(1 << random_.Below(8));
+}
+
+result<void> memory_file_system::CreateFolder(const std::string&) { return {}; }
+
+result<std::unique_ptr<folder_lock>> memory_file_system::Lock(const std::string&) {
+  if (locked_) return Fail(error_kind::kStorageFailed, "locked");
+  return std::unique_ptr<folder_lock>(std::make_unique<memory_lock>(locked_));
+}
+
+result<std::vector<std::string>> memory_file_system::List(const std::string& folder) {
+  std::vector<std::string> names;
+  for (const auto& [path, entry] : files_) names.push_back(path.substr(folder.size() + 1));
+  return names;
+}
+
+result<std::string> memory_file_system::Read(const std::string& path) {
+  const auto found = files_.find(path);
+  if (found == files_.end()) return Fail(error_kind::kStorageFailed, "missing");
+  return found->second->content;
+}
+
+result<std::unique_ptr<append_file>> memory_file_system::OpenAppend(const std::string& path) {
+  std::shared_ptr<file>& entry = files_[path];
+  if (!entry) {
+    entry = std::make_shared<file>();
+    history_.push_back(files_);
+  }
+  return std::unique_ptr<append_file>(std::make_unique<memory_append_file>(*this, entry));
+}
+
+result<void> memory_file_system::Truncate(const std::string& path, size_t size) {
+  return Operate([&] {
+    files_[path]->content.resize(size);
+    files_[path]->synced = size;
+  });
+}
+
+result<void> memory_file_system::Rename(const std::string& from, const std::string& to) {
+  return Operate([&] {
+    files_[to] = files_[from];
+    files_.erase(from);
+    history_.push_back(files_);
+  });
+}
+
+result<void> memory_file_system::Remove(const std::string& path) {
+  return Operate([&] {
+    files_.erase(path);
+    history_.push_back(files_);
+  });
+}
+
+result<void> memory_file_system::SyncFolder(const std::string&) {
+  return Operate([&] { history_ = {files_}; });
+}
+
+}  // namespace teaseljunction
