Add admission control and fleet-wide shares

Cause: each target needs a limit on concurrent calls and a level that callers can be refused by; accounts need one rate over all hosts. Change: admission_controller (adaptive concurrency limit, bounded queue by priority, depth, account and age, overload level per account), share_owner and share_holder (token grants with a lifetime), tests in virtual time.

--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -18,6 +17,7 @@
 class call_queue;
 class concurrency_limit;
 class level_control;
+class queue_watch;
 class service_time_estimate;
 
 /// Settings of an `admission_controller`. See the setters of `admission_controller_builder`.
@@ -95,23 +95,24 @@
 
  private:
   struct running_call {
-    absl::Time started;
     request_priority priority;
     uint64_t process;
+    /// Window of measurement of `concurrency_limit`.
+    uint64_t window;
   };
 
-  bool HasFreeSlot() const { return in_flight_ < Limit(); }
+  bool HasFreeSlot() const;
   bool CannotMeetDeadline(request_priority priority, absl::Time deadline, absl::Time now) const;
-  void Start(uint64_t call_id, request_priority priority, absl::Time now);
+  void Start(uint64_t call_id, request_priority priority);
   admission_decision Enqueue(const admission_request& request, absl::Time now);
+  void StartQueued(absl::Time now);
   void Refuse(uint64_t call_id, error_kind reason);
   void RefuseAllQueued(error_kind reason);
   void RefuseExpired(absl::Time now);
   void RefuseStale(absl::Time now);
-  void StartQueued(absl::Time now);
-  void AccountTime(absl::Time now);
-  void Tick(absl::Time now);
-  void UpdateStanding(absl::Time now);
+  /// Accounts for the time up to `now` and ends the period when it is over.
+  void Advance(absl::Time now);
+  void EndPeriod(absl::Time now);
 
   admission_settings settings_;
   uint32_t slots_ = 0;
@@ -120,11 +121,17 @@
   uint64_t process_ = 0;
   std::unique_ptr<concurrency_limit> limit_;
   std::unique_ptr<call_queue> queue_;
+  std::unique_ptr<queue_watch> watch_;
   std::unique_ptr<level_control> level_;
   std::unique_ptr<service_time_estimate> service_time_;
   absl::flat_hash_map<uint64_t, running_call> running_;
-  /// Refusals that the next `Poll` returns.
+  /// Decisions that the next `Poll` returns.
   std::vector<admission_decision> pending_;
+  /// The queue and the level are examined once a period, twice per queue interval.
+  absl::Time period_start_;
+  absl::Time accounted_until_;
+  /// Sum over the period of time multiplied by the part of the limit that was in use.
+  absl::Duration used_time_;
 };
 
 /// Builds an `admission_controller`.
--- a/src/shares/share_holder.h
+++ b/src/shares/share_holder.h
@@ -57,6 +57,8 @@
 
  private:
   absl::flat_hash_map<std::string, account_share> accounts_;
+  /// Time of the last request whose response was applied.
+  absl::Time last_applied_ = absl::InfinitePast();
 };
 
 }  // namespace teaseljunction
--- /dev/null
+++ b/src/shares/tests/shares_test.cc
@@ -0,0 +1,161 @@
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+#include "shares/tests/mocks/share_fleet.h"
+
+namespace teaseljunction {
+namespace {
+
+const account_rate kLarge = {"large", 1000, 2000};
+const account_rate kMedium = {"medium", 100, 50};
+const account_rate kSmall = {"small", 5, 5};
+const account_rate kPair = {"pair", 3, 2.5};
+const account_rate kSingle = {"single", 2, 1};
+const account_rate kRare = {"rare", 0.1, 1};
+
+// Returns the seeds of a randomized test: five, or the one that was set to reproduce a failure.
+std::vector<uint64_t> Seeds() {
+  const char* seed = std::getenv("TEASELJUNCTION_SEED");
+  if (seed != nullptr) return {std::strtoull(seed, nullptr, 10)};
+  return {1, 2, 3, 4, 5};
+}
+
+std::string Command(uint64_t seed) {
+  return "reproduce: TEASELJUNCTION_SEED=" + std::to_string(seed) + " build/src/shares/shares_test";
+}
+
+absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(seconds); }
+
+}  // namespace
+
+// Guards against an account that exceeds its rate and burst over all hosts.
+TEST_CASE("use stays within burst and rate under faults") {
+  struct fault_case {
+    const char* name;
+    double loss, duplication, suspension, owner_change, drift;
+  };
+  const fault_case cases[] = {{"none", 0, 0, 0, 0, 0},
+                              {"lost messages", 0.3, 0, 0, 0, 0},
+                              {"duplicates", 0, 0.5, 0, 0, 0},
+                              {"suspended holders", 0, 0, 0.3, 0, 0},
+                              {"owner changes", 0, 0, 0, 0.5, 0},
+                              {"drifting clocks", 0, 0, 0, 0, 0.0099},
+                              {"all", 0.1, 0.2, 0.1, 0.1, 0.0099}};
+  for (const uint64_t seed : Seeds()) {
+    for (const fault_case& faults : cases) {
+      for (const account_rate& account : {kLarge, kMedium, kSmall, kPair, kSingle, kRare}) {
+        std::mt19937_64 random(seed);
+        fleet_plan plan;
+        plan.account = account;
+        plan.holders = 1 + static_cast<int>(random() % 40);
+        plan.demand = account.rate * (0.5 + static_cast<double>(random() % 5));
+        plan.skew = 1 + static_cast<double>(random() % 10);
+        plan.loss = faults.loss;
+        plan.duplication = faults.duplication;
+        plan.suspension = faults.suspension;
+        plan.owner_change = faults.owner_change;
+        plan.drift = faults.drift;
+        share_fleet fleet(plan, seed);
+        fleet.Run();
+        INFO(Command(seed) << ", " << faults.name << ", " << account.client_account);
+        CHECK(fleet.PeakExcess() <= account.burst + 1e-6);
+      }
+    }
+  }
+}
+
+// Guards against refusals of requests that are within the rate.
+TEST_CASE("requests at 90 % of the rate are hardly ever refused") {
+  for (const uint64_t seed : Seeds()) {
+    for (const int holders : {1, 10, 40}) {
+      for (const account_rate& account : {kLarge, kMedium}) {
+        share_fleet fleet(
+            {.account = account, .holders = holders, .demand = 0.9 * account.rate, .skew = 5},
+            seed);
+        fleet.Run();
+        const double refused = 1.0 * fleet.Refused() / (fleet.Used() + fleet.Refused());
+        INFO(Command(seed) << ", " << account.client_account << ", holders " << holders);
+        CHECK(refused < 0.01);
+      }
+    }
+  }
+}
+
+// Guards against holders that never get a token, and against tokens that are lost to the fleet.
+TEST_CASE("no holder starves when demands exceed the bucket") {
+  for (const uint64_t seed : Seeds()) {
+    for (const account_rate& account : {kLarge, kMedium, kSmall, kSingle}) {
+      share_fleet fleet({.account = account,
+                         .holders = 20,
+                         .demand = 4 * account.rate,
+                         .skew = 20,
+                         .seconds = 200},
+                        seed);
+      fleet.Run();
+      INFO(Command(seed) << ", " << account.client_account);
+      CHECK(fleet.LeastUsed() > 0.2 * fleet.Used() / 39);
+      CHECK(fleet.Used() > (account.burst < 2 ? 0.4 : 0.8) * 200 * account.rate);
+    }
+  }
+}
+
+// Guards against tokens that are used after their time, or granted without a term.
+TEST_CASE("tokens outside their term or lifetime are not used") {
+  share_owner owner;
+  share_holder holder;
+  owner.SetAccounts({kMedium}, At(0));
+  holder.SetAccounts({kMedium}, At(0));
+  const token_demand demand = {"medium", 10, 10, 0};
+  CHECK(owner.Demand(demand, At(1)).tokens == 0);
+  owner.StartTerm(At(1));
+  CHECK(owner.Demand(demand, At(1)).tokens == 0);
+  const token_grant grant = owner.Demand(demand, At(2));
+  REQUIRE(grant.tokens == 10);
+  CHECK(grant.lifetime == absl::Milliseconds(247.5));
+
+  holder.ApplyGrants({grant}, At(2), At(2.1));
+  holder.ApplyGrants({grant}, At(2), At(2.1));
+  int taken = 0;
+  while (holder.TryTake("medium", At(2.2))) ++taken;
+  CHECK(taken == 10);
+  holder.ApplyGrants({grant}, At(3), At(3.1));
+  CHECK(holder.TryTake("medium", At(3.2)));
+  CHECK_FALSE(holder.TryTake("medium", At(3.2476)));
+  holder.ApplyGrants({grant}, At(4), At(4.1));
+  holder.SetAccounts({{"medium", 50, 50}}, At(4.1));
+  CHECK_FALSE(holder.TryTake("medium", At(4.1)));
+  CHECK_FALSE(holder.TryTake("other", At(4.1)));
+
+  owner.EndTerm();
+  const token_grant refusal = owner.Demand(demand, At(5));
+  CHECK(refusal.tokens == 0);
+  CHECK(refusal.retry_after > absl::ZeroDuration());
+}
+
+// Guards against syncs that request nothing for a waiting call, or come too often without need.
+TEST_CASE("demand follows waiting calls and requests") {
+  share_holder holder;
+  holder.SetAccounts({kMedium}, At(0));
+  CHECK(holder.CollectDemands(At(0)).empty());
+  CHECK_FALSE(holder.Urgent(At(0)));
+  CHECK_FALSE(holder.TryTake("medium", At(0)));
+  holder.AddWaiting("medium");
+  CHECK(holder.Urgent(At(0)));
+  CHECK(holder.CollectDemands(At(0)).at(0).waiting == 1);
+  holder.ApplyGrants({{"medium", 0, {}, absl::Milliseconds(200), true}}, At(0), At(0.01));
+  CHECK(holder.RetryAfter("medium", At(0.11)) == absl::Milliseconds(100));
+  CHECK_FALSE(holder.Urgent(At(0.05)));
+  CHECK(holder.Urgent(At(0.3)));
+  CHECK(holder.CollectDemands(At(0.3)).at(0).missed == 1);
+  holder.RemoveWaiting("medium");
+  for (int i = 1; i <= 60; ++i) {
+    holder.TryTake("medium", At(0.3 + 0.05 * i));
+    if (i % 20 == 0) holder.CollectDemands(At(0.3 + 0.05 * i));
+  }
+  holder.ApplyGrants({{"medium", 1, absl::Seconds(1), {}, false}}, At(3.3), At(3.3));
+  const uint32_t tokens = holder.CollectDemands(At(3.3)).at(0).tokens;
+  CHECK(tokens >= 4);
+  CHECK(tokens <= 20);
+}
+
+}  // namespace teaseljunction
