--- a/src/admission/internal/concurrency_limit.cc
+++ b/src/admission/internal/concurrency_limit.cc
@@ -11,13 +11,16 @@
 constexpr double kColdPart = 0.125;
 constexpr double kColdMinimum = 4;
 constexpr size_t kMinMembers = 32;
-constexpr size_t kMaxMembers = 64;
-// Part of a window's calls that must have finished. The others are the slowest ones, which do not
-// change the mean of the lower half.
-constexpr double kFinishedPart = 0.8;
+constexpr size_t kMaxMembers = 128;
+constexpr size_t kMinTrialMembers = 96;
+constexpr size_t kMaxTrialMembers = 256;
+// Part of a window's calls that must have finished, and the part of the fastest calls that is
+// averaged. The mean of exponentially distributed times of 100 calls then differs by 12 %.
+constexpr double kFinishedPart = 0.9;
+constexpr double kFastestPart = 0.8;
 // A window that has lasted this long needs only a few samples.
 constexpr absl::Duration kLongWindow = absl::Milliseconds(500);
-constexpr size_t kFewSamples = 8;
+constexpr size_t kFewSamples = 16;
 // A window that has lasted this long ends although calls that hang keep it incomplete.
 constexpr absl::Duration kLongestWindow = absl::Seconds(2);
 constexpr double kSmoothing = 0.3;
@@ -25,31 +28,39 @@
 constexpr double kGrowRatio = 1.3;
 // Ratio of service time to baseline above which the target may be congested.
 constexpr double kCongestedRatio = 1.5;
+// Windows in a row with such a ratio before a trial. The first one can include calls from before
+// the change, so that a trial would be compared with too short a service time.
+constexpr int kCongestedWindows = 2;
+// Ratio of service time to the former baseline that repeats a rejected trial.
+constexpr double kRepeatRatio = 2;
 constexpr double kColdGrowth = 2;
-constexpr double kGrowth = 1.25;
+constexpr double kGrowth = 1.4;
 constexpr double kSlowGrowth = 1.02;
-constexpr double kLowerTrial = 0.5;
+// A trial aims at a service time of this ratio to the baseline, in limited steps.
+constexpr double kTrialRatio = 1.2;
+constexpr double kLowestTrial = 0.5;
+constexpr double kHighestTrial = 0.85;
 constexpr double kHigherTrial = 1.25;
 // A congested target's service time is proportional to the calls it runs. The middle between that
 // and no effect decides a trial.
-constexpr double kLowerAccepted = 0.75;
 constexpr double kHigherAccepted = 1.12;
 constexpr absl::Duration kFirstTrialPause = absl::Seconds(1);
 constexpr absl::Duration kLastTrialPause = absl::Seconds(4);
 constexpr absl::Duration kBaselineTimeConstant = absl::Seconds(10);
 constexpr double kBaselineDecrease = 0.2;
-constexpr double kShedFactor = 0.8;
+constexpr double kShedFactor = 0.9;
 constexpr absl::Duration kShedInterval = absl::Milliseconds(20);
 constexpr absl::Duration kSlowGrowthTime = absl::Seconds(1);
 
-// The mean of the lower half stands for the minimum: it ignores slow calls, and differs less
-// between windows than the single smallest value does.
-// `members` counts the calls of the window, finished or not.
-double LowerHalfMean(std::vector<double>& samples, size_t members) {
-  const size_t half = std::min(samples.size(), (members + 1) / 2);
-  const auto middle = samples.begin() + static_cast<std::ptrdiff_t>(half);
-  std::nth_element(samples.begin(), middle - 1, samples.end());
-  return std::accumulate(samples.begin(), middle, 0.0) / static_cast<double>(half);
+// The mean of the fastest calls stands for the minimum: it ignores outliers, and differs less
+// between windows than the smallest value does. `members` counts the calls of the window, finished
+// or not.
+double FastestMean(std::vector<double>& samples, size_t members) {
+  const auto part = static_cast<size_t>(kFastestPart * static_cast<double>(members));
+  const size_t count = std::clamp<size_t>(part, 1, samples.size());
+  const auto end = samples.begin() + static_cast<std::ptrdiff_t>(count);
+  std::nth_element(samples.begin(), end - 1, samples.end());
+  return std::accumulate(samples.begin(), end, 0.0) / static_cast<double>(count);
 }
 
 }  // namespace
@@ -78,7 +89,7 @@
 
 uint64_t concurrency_limit::OnStart(size_t in_flight) {
   if (in_flight >= Get()) limited_ = true;
-  if (members_ >= std::clamp<size_t>(Get(), kMinMembers, kMaxMembers)) return 0;
+  if (members_ >= MembersNeeded()) return 0;
   ++members_;
   return window_;
 }
@@ -100,7 +111,15 @@
   if (samples_.size() < kFewSamples) return false;
   if (elapsed >= kLongestWindow) return true;
   if (samples_.size() < kFinishedPart * static_cast<double>(members_)) return false;
-  return members_ >= kMinMembers || elapsed >= kLongWindow;
+  const bool may_be_small = trial_ == trial_kind::kNone && elapsed >= kLongWindow;
+  return members_ >= MembersNeeded() || may_be_small;
+}
+
+size_t concurrency_limit::MembersNeeded() const {
+  const size_t limit = Get();
+  // A trial that is decided by chance can halve the throughput, so it measures more calls.
+  if (trial_ != trial_kind::kNone) return std::clamp(3 * limit, kMinTrialMembers, kMaxTrialMembers);
+  return std::clamp(limit, kMinMembers, kMaxMembers);
 }
 
 void concurrency_limit::OnShed(size_t in_flight, absl::Time now) {
@@ -114,21 +133,25 @@
 }
 
 void concurrency_limit::Evaluate(absl::Time now) {
-  const double service_time = std::max(LowerHalfMean(samples_, members_), 1e-6);
+  const double service_time = std::max(FastestMean(samples_, members_), 1e-6);
   const absl::Duration elapsed = now - window_start_;
   const bool limited = limited_;
   StartWindow(now);
   if (trial_ != trial_kind::kNone) return FinishTrial(service_time, now);
-  recent_ = recent_ == 0 ? service_time : recent_ + kSmoothing * (service_time - recent_);
+  const bool jump =
+      service_time > kCongestedRatio * recent_ || service_time * kCongestedRatio < recent_;
+  recent_ = jump ? service_time : recent_ + kSmoothing * (service_time - recent_);
   UpdateBaseline(elapsed);
   if (!limited) return;
   const double ratio = recent_ / baseline_;
-  const bool repeat = former_baseline_ > 0 && recent_ > kCongestedRatio * former_baseline_;
+  const bool congested = ratio > kCongestedRatio && service_time > kCongestedRatio * baseline_;
+  const bool repeat = former_baseline_ > 0 && recent_ > kRepeatRatio * former_baseline_;
   const bool may_try = now >= next_trial_;
-  const bool confirmed = service_time > kCongestedRatio * baseline_;
-  if ((ratio > kCongestedRatio && confirmed) || (repeat && may_try)) {
+  congested_windows_ = congested ? congested_windows_ + 1 : 0;
+  if (congested || (repeat && may_try)) {
     cold_ = false;
-    if (may_try && Get() > 1) StartTrial(trial_kind::kLower, now);
+    const bool confirmed = repeat || congested_windows_ >= kCongestedWindows;
+    if (confirmed && may_try && Get() > 1) StartTrial(trial_kind::kLower, now);
   } else if (ratio <= kGrowRatio) {
     Grow(now);
   } else if (standing_ && may_try && Get() < slots_) {
@@ -157,9 +180,12 @@
   trial_ = kind;
   limit_before_trial_ = Get();
   service_time_before_trial_ = recent_;
-  const double factor = kind == trial_kind::kLower ? kLowerTrial : kHigherTrial;
-  const double limit = limit_before_trial_ * factor;
-  Change(kind == trial_kind::kLower ? limit : std::max(limit, limit_before_trial_ + 1), now);
+  if (kind == trial_kind::kHigher) {
+    return Change(std::max(limit_before_trial_ * kHigherTrial, limit_before_trial_ + 1), now);
+  }
+  const double normal = former_baseline_ > 0 ? former_baseline_ : baseline_;
+  const double factor = std::clamp(kTrialRatio * normal / recent_, kLowestTrial, kHighestTrial);
+  Change(std::floor(limit_before_trial_ * factor), now);
 }
 
 void concurrency_limit::FinishTrial(double service_time, absl::Time now) {
@@ -168,7 +194,7 @@
   trial_ = trial_kind::kNone;
   recent_ = 0;
   if (kind == trial_kind::kLower) {
-    if (ratio > kLowerAccepted) return RejectLower(now);
+    if (ratio > (1 + Get() / limit_before_trial_) / 2) return RejectLower(now);
     trial_pause_ = absl::ZeroDuration();
     former_baseline_ = 0;
   } else if (ratio > kHigherAccepted) {
--- a/src/admission/internal/concurrency_limit.h
+++ b/src/admission/internal/concurrency_limit.h
@@ -40,7 +40,7 @@
  private:
   enum class trial_kind : uint8_t { kNone, kLower, kHigher };
 
-  size_t SamplesNeeded() const;
+  size_t MembersNeeded() const;
   void OnShed(size_t in_flight, absl::Time now);
   bool WindowComplete(absl::Time now) const;
   void Evaluate(absl::Time now);
@@ -68,6 +68,8 @@
   std::vector<double> samples_;
   /// Smoothed service time of the last windows in seconds, 0 when unknown.
   double recent_ = 0;
+  /// Windows in a row in which the target seemed congested.
+  int congested_windows_ = 0;
   /// Service time without congestion in seconds, 0 when unknown.
   double baseline_ = 0;
   /// Baseline before the last trial that was rejected, 0 when there is none to return to.
--- a/src/shares/internal/account_share.cc
+++ b/src/shares/internal/account_share.cc
@@ -86,13 +86,14 @@
   demand.tokens = static_cast<uint32_t>(std::min(waiting_ + stock, std::ceil(most)));
   demand.waiting = std::min(waiting_, demand.tokens);
   demand.missed = missed_;
+  requested_waiting_ = demand.waiting;
   if (demand.tokens == 0) return absl::nullopt;
   return demand;
 }
 
 bool account_share::Urgent(absl::Time now) const {
-  if (now < urgent_after_) return false;
-  if (waiting_ > 0) return true;
+  if (waiting_ > 0) return now >= waiting_after_;
+  if (now < stock_after_) return false;
   const double low = std::min(Stock(), demand_rate_ * absl::ToDoubleSeconds(kLowStock));
   return low > 0 && Usable(now) < low;
 }
@@ -104,13 +105,15 @@
   scarce_ = grant.scarce;
   repeats_ = waiting_;
   if (grant.tokens == 0) {
-    ++missed_;
     retry_at_ = now + grant.retry_after;
-    urgent_after_ = now + std::min(grant.retry_after, kMaxShortagePause);
+    stock_after_ = now + kMaxShortagePause;
+    if (requested_waiting_ == 0) return;
+    ++missed_;
+    waiting_after_ = now + std::min(grant.retry_after, kMaxShortagePause);
     return;
   }
   missed_ = 0;
-  if (grant.tokens < waiting_) urgent_after_ = now + pause;
+  if (grant.tokens < requested_waiting_) waiting_after_ = now + pause;
   const absl::Time expiry = request_sent_at + grant.lifetime;
   if (expiry <= now) return;
   batches_.push_back({expiry, grant.tokens});
--- a/src/shares/internal/account_share.h
+++ b/src/shares/internal/account_share.h
@@ -56,7 +56,11 @@
   absl::Time counted_since_ = absl::InfinitePast();
   /// Smoothed new requests per second.
   double demand_rate_ = 0;
-  absl::Time urgent_after_ = absl::InfinitePast();
+  /// Number of waiting calls in the last request.
+  uint32_t requested_waiting_ = 0;
+  /// Times before which no early sync is needed for waiting calls, and for the stock.
+  absl::Time waiting_after_ = absl::InfinitePast();
+  absl::Time stock_after_ = absl::InfinitePast();
   absl::Time retry_at_ = absl::InfinitePast();
 };
 
--- a/src/shares/internal/token_bucket.cc
+++ b/src/shares/internal/token_bucket.cc
@@ -14,8 +14,8 @@
 // lost to the others.
 constexpr absl::Duration kStarvedRetention = absl::Milliseconds(600);
 constexpr size_t kMaxStarved = 1024;
-// Part of the rate above which unused tokens could cause refusals.
-constexpr double kScarceUtilization = 0.7;
+// Part of the capacity that is kept for calls that wait. Tokens for a stock may expire unused.
+constexpr double kKeptForWaiting = 0.75;
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(10);
 constexpr absl::Duration kMaxRetryAfter = absl::Seconds(60);
 // Rounding error of sums of accrued fractions of a token.
@@ -73,13 +73,13 @@
 
 token_grant token_bucket::Demand(const token_demand& demand, absl::Time now) {
   Refill(now);
-  demanded_.Add(demand.tokens, now);
+  demanded_.Add(demand.waiting, now);
   ForgetStarved(demand.missed, now);
   const double demanded = demanded_.Get(now);
   token_grant grant;
   grant.client_account = demand.client_account;
   grant.lifetime = lifetime_ * (1 - kClockDrift);
-  grant.scarce = demanded > kScarceUtilization * account_.rate;
+  grant.scarce = level_ < kKeptForWaiting * capacity_;
   grant.tokens = Share(demand, demanded);
   if (grant.tokens > 0) {
     level_ -= grant.tokens;
@@ -115,12 +115,15 @@
 uint32_t token_bucket::Share(const token_demand& demand, double demanded) const {
   const double available = level_ - Reserve(demand.missed) + kRounding;
   if (demand.tokens == 0 || available < 1) return 0;
+  if (serial_) return demand.waiting > 0 ? 1 : 0;
+  const double waiting = std::min(demand.waiting, demand.tokens);
   const double supply = level_ + account_.rate * absl::ToDoubleSeconds(kSumWindow);
   const double part = std::min(1.0, supply / std::max(demanded, 1.0));
-  const double minimum = demand.waiting > 0 ? 1 : 0;
-  const double wanted = std::max(minimum, std::floor(demand.tokens * part));
-  const double most = serial_ ? 1 : std::floor(available);
-  return static_cast<uint32_t>(std::min(wanted, most));
+  const double least = std::min(1.0, waiting);
+  const double for_waiting = std::clamp(std::floor(waiting * part), least, std::floor(available));
+  const double spare = std::floor(available - for_waiting - kKeptForWaiting * capacity_);
+  const double for_stock = std::clamp(demand.tokens - waiting, 0.0, std::max(0.0, spare));
+  return static_cast<uint32_t>(for_waiting + for_stock);
 }
 
 absl::Duration token_bucket::RetryAfter(double reserve, absl::Time now) const {
