Add the command-line tool

Operators had no way to check, submit and compare manifests, to make keys, to see the state of a daemon or to change the control group. The tool uses the operators' ports through libcurl, each request on a new connection, and tells a refusal from an unknown outcome in its exit code. Only submissions are repeated, because repeating them is recognised. Flags are set through Abseil's reflection, since Abseil's parser ends with 1 on usage errors, which stands for a refusal here.

--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <vector>
+
+#include "cli/command_line.h"
+
+namespace teaseljunction {
+
+/// Returns all commands of the tool.
+std::vector<command_entry> AllCommands();
+
+/// Commands by area.
+std::vector<command_entry> ManifestCommands();
+std::vector<command_entry> FleetCommands();
+std::vector<command_entry> CallCommands();
+
+}  // namespace teaseljunction
