--- a/src/rpc/internal/client_loop.cc
+++ b/src/rpc/internal/client_loop.cc
@@ -71,7 +71,7 @@
 
 kj::Promise<void> client_loop::SendWhenReady(running_call& running) {
   pending_call* call = running.call.get();
-  const auto send = [call]() -> kj::Promise<void> {
+  auto send = [call]() -> kj::Promise<void> {
     peer& target = *call->connection;
     if (target.state != peer::phase::kUp) return KJ_EXCEPTION(DISCONNECTED, "not connected");
     if (target.connection->network.getCurrentQueueSize() > kMaxQueuedBytes) {
@@ -80,7 +80,7 @@
     return call->Send(target.connection->node);
   };
   if (call->connection->state == peer::phase::kUp) return kj::evalNow(send);
-  return call->connection->ready.addBranch().then(send);
+  return call->connection->ready.addBranch().then(kj::mv(send));
 }
 
 void client_loop::Track(running_call& running, kj::Promise<void> sending) {
--- a/src/rpc/internal/node_impl.cc
+++ b/src/rpc/internal/node_impl.cc
@@ -49,12 +49,14 @@
 }
 
 kj::Promise<void> node_impl::manifest(ManifestContext context) {
-  Encode(service_.Manifest(), context.getResults());
+  const manifest_record record = service_.Manifest();
+  Encode(record, context.initResults(SizeHint(record)));
   return kj::READY_NOW;
 }
 
 kj::Promise<void> node_impl::status(StatusContext context) {
-  Encode(service_.Status(), context.getResults());
+  const status_report report = service_.Status();
+  Encode(report, context.initResults(SizeHint(report)));
   return kj::READY_NOW;
 }
 
--- a/src/rpc/internal/server_loop.cc
+++ b/src/rpc/internal/server_loop.cc
@@ -32,17 +32,16 @@
 
 /// Everything that belongs to the loop's thread, in the order of construction.
 struct server_loop::state : kj::TaskSet::ErrorHandler {
-  state(server_loop& owner, kj::AsyncIoContext& context)
+  state(server_loop& owner, kj::AsyncIoContext& context, waiting_calls& waiting)
       : loop(owner),
         io(context),
-        waiting(owner.queue_, owner.activity_),
         node(kj::heap<node_impl>(owner.service_, waiting)),
         listener(context.lowLevelProvider->wrapListenSocketFd(
             owner.listen_fd_, kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP |
                                   kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
                                   kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK)),
         stop(kj::newPromiseAndFulfiller<void>()),
-        connections(*this) {}
+        connections(kj::heap<kj::TaskSet>(*this)) {}
 
   void taskFailed(kj::Exception&& failure) override {  // NOLINT(readability-identifier-naming)
     LogRpcLimited(loop.limiter_, failure.getDescription().cStr());
@@ -50,12 +49,11 @@
 
   server_loop& loop;
   kj::AsyncIoContext& io;
-  waiting_calls waiting;
   wire::Node::Client node;
   kj::Own<kj::ConnectionReceiver> listener;
   kj::PromiseFulfillerPair<void> stop;
   unsigned open = 0;
-  kj::TaskSet connections;
+  kj::Own<kj::TaskSet> connections;
   kj::Promise<void> accepting = nullptr;
 };
 
@@ -73,8 +71,10 @@
 
 void server_loop::Run() {
   kj_log log(limiter_);
+  // Outlives the event loop, which may hold promises of calls until its end.
+  waiting_calls waiting(queue_, activity_);
   kj::AsyncIoContext io = kj::setupAsyncIo();
-  state loop(*this, io);
+  state loop(*this, io, waiting);
   state_ = &loop;
   loop.accepting = Accept(loop).eagerlyEvaluate(
       [&loop](kj::Exception&& failure) { loop.taskFailed(kj::mv(failure)); });
@@ -82,6 +82,9 @@
       queue_->Run(io.unixEventPort, [](absl::AnyInvocable<void()> task) { task(); })
           .eagerlyEvaluate(nullptr);
   loop.stop.promise.wait(io.waitScope);
+  loop.connections = nullptr;
+  // The RPC system drops the calls of a closed connection in events of their own.
+  io.waitScope.poll();
   queue_->Close();
 }
 
@@ -111,7 +114,7 @@
       kj::mv(stream), loop.node, MessageLimits(settings.max_message_bytes), loop.loop.limiter_);
   ++loop.open;
   kj::Promise<void> closed = connection->network.onDisconnect();
-  loop.connections.add(closed.attach(kj::mv(connection), kj::defer([&loop] { --loop.open; })));
+  loop.connections->add(closed.attach(kj::mv(connection), kj::defer([&loop] { --loop.open; })));
 }
 
 void server_loop::Post(void (*task)(state&)) {
