Wire all modules and fix the token path

Cause: the first run of the demo refused calls inside the rate with 429. Grants of one sync response were applied one by one, and a holder ignores a second response with the same send time, so only one account per shard got tokens; and nothing asked for another sync while calls still waited. Ruled out: the owner's bucket, which had tokens after the first sync. Change: apply the grants of a response per shard in one call, request a sync while a holder is urgent, fill buckets from the first sync on.

--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -79,8 +79,8 @@
 
 std::vector<token_grant> leader_service::Grant(const sync_request& request, absl::Time now) {
   std::vector<token_grant> grants;
-  if (request.demands.empty()) return grants;
   absl::MutexLock lock(&shares_mutex_);
+  // Also without demands, so that the buckets of a new manifest begin to fill.
   UpdateAccounts(now);
   for (const token_demand& demand : request.demands) grants.push_back(shares_.Demand(demand, now));
   return grants;
--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -107,8 +107,12 @@
   absl::MutexLock lock(&mutex_);
   request.directory_epoch = directory_.Epoch();
   request.directory_version = directory_.Version();
-  for (crash_report& report : reports) unsent_reports_.push_back(std::move(report));
-  request.crashes = unsent_reports_;
+  const absl::Time now = ports_.clock.Now();
+  for (crash_report& report : reports) unsent_reports_.emplace_back(std::move(report), now);
+  for (const auto& [report, collected_at] : unsent_reports_) {
+    request.crashes.push_back(report);
+    request.crashes.back().age += now - collected_at;
+  }
   sent_quarantine_size_ = request.quarantine_size;
   return request;
 }
--- a/src/daemon/sync_loop.h
+++ b/src/daemon/sync_loop.h
@@ -82,8 +82,8 @@
   absl::Time scheduled_for_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
   uint64_t timer_id_ ABSL_GUARDED_BY(mutex_) = 0;
   uint64_t sent_quarantine_size_ ABSL_GUARDED_BY(mutex_) = 0;
-  // Reports of a sync that failed; they are sent again.
-  std::vector<crash_report> unsent_reports_ ABSL_GUARDED_BY(mutex_);
+  // Reports that no sync has delivered yet, and when they were collected.
+  std::vector<std::pair<crash_report, absl::Time>> unsent_reports_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/internal/account_limiter.cc
+++ b/src/gateway/internal/account_limiter.cc
@@ -31,6 +31,7 @@
 void account_limiter::Acquire(absl::string_view client_account, completion done) {
   shard& owner = ShardOf(client_account);
   uint64_t waiter_id = 0;
+  bool urgent = false;
   {
     absl::MutexLock lock(&owner.mutex);
     const absl::Time now = clock_.Now();
@@ -41,14 +42,15 @@
       queue.push_back({waiter_id, std::move(done)});
       owner.holder.AddWaiting(client_account);
     }
+    urgent = owner.holder.Urgent(now);
   }
+  if (urgent) request_sync_();
   if (waiter_id == 0) {
     done({.granted = true, .retry_after = absl::ZeroDuration()});
     return;
   }
   timers_.RunAt(clock_.Now() + max_wait_, [this, &owner, account = std::string(client_account),
                                            waiter_id] { Expire(owner, account, waiter_id); });
-  request_sync_();
 }
 
 void account_limiter::Expire(shard& owner, const std::string& client_account, uint64_t waiter_id) {
@@ -92,14 +94,24 @@
 
 void account_limiter::ApplyGrants(absl::Span<const token_grant> grants,
                                   absl::Time request_sent_at) {
-  std::vector<finished_wait> finished;
+  // A holder takes the grants of one response in one call and ignores repeated responses.
+  std::array<std::vector<token_grant>, kShardCount> per_shard;
   for (const token_grant& grant : grants) {
-    shard& owner = ShardOf(grant.client_account);
+    per_shard[absl::HashOf(absl::string_view(grant.client_account)) % kShardCount].push_back(grant);
+  }
+  std::vector<finished_wait> finished;
+  bool urgent = false;
+  for (size_t i = 0; i < kShardCount; ++i) {
+    if (per_shard[i].empty()) continue;
+    shard& owner = shards_[i];
     absl::MutexLock lock(&owner.mutex);
     const absl::Time now = clock_.Now();
-    owner.holder.ApplyGrants({&grant, 1}, request_sent_at, now);
-    TakeReady(owner, grant, now, finished);
+    owner.holder.ApplyGrants(per_shard[i], request_sent_at, now);
+    for (const token_grant& grant : per_shard[i]) TakeReady(owner, grant, now, finished);
+    // What the grants did not cover needs another sync.
+    urgent = urgent || owner.holder.Urgent(now);
   }
+  if (urgent) request_sync_();
   for (finished_wait& wait : finished) wait.done(wait.outcome);
 }
 
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -318,7 +318,7 @@
 std::vector<crash_report> target_executor::TakeCrashReports() {
   absl::MutexLock lock(&mutex_);
   std::vector<crash_report> reports = std::exchange(crash_reports_, {});
-  for (crash_report& completed : suspects_.TakeCompleted()) {
+  for (crash_report& completed : suspects_.TakeCompleted(ports_.clock.Now())) {
     reports.push_back(std::move(completed));
   }
   return reports;
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -170,4 +170,26 @@
   CHECK(FindHeader(refused->last.headers, "Retry-After"));
 }
 
+// Guards against grants that are dropped because another account of the same shard was granted in
+// the same response.
+TEST_CASE("each account of a response gets its tokens") {
+  virtual_scheduler time;
+  account_limiter accounts(time, time, absl::Milliseconds(300), [] {});
+  std::vector<account_rate> rates;
+  std::vector<token_grant> grants;
+  for (int i = 0; i < 40; ++i) {
+    rates.push_back({"account" + std::to_string(i), 100, 100});
+    grants.push_back({rates.back().client_account, 1, absl::Seconds(1), {}});
+  }
+  accounts.SetAccounts(rates);
+  accounts.CollectDemands();
+  accounts.ApplyGrants(grants, time.Now());
+  int granted = 0;
+  for (const account_rate& account : rates) {
+    accounts.Acquire(account.client_account,
+                     [&granted](const token_result& token) { granted += token.granted ? 1 : 0; });
+  }
+  CHECK(granted == 40);
+}
+
 }  // namespace teaseljunction
--- a/src/rpc/internal/convert_call.cc
+++ b/src/rpc/internal/convert_call.cc
@@ -111,6 +111,7 @@
   out.setLevelCohort(value.level.cohort);
   out.setUnusedAttempts(value.unused_attempts);
   out.setServiceTime(ToWire(value.service_time));
+  out.setTargetFailed(value.target_failed);
 }
 
 execute_result Decode(wire::ExecuteResult::Reader in) {
@@ -125,6 +126,7 @@
   value.level.cohort = in.getLevelCohort();
   value.unused_attempts = in.getUnusedAttempts();
   value.service_time = DurationFromWire(in.getServiceTime());
+  value.target_failed = in.getTargetFailed();
   return value;
 }
 
--- a/src/rpc/internal/convert_sync.cc
+++ b/src/rpc/internal/convert_sync.cc
@@ -37,6 +37,7 @@
     out[i].setFingerprint(ToText(crashes[i].fingerprint));
     out[i].setTarget(ToText(crashes[i].target));
     out[i].setCompleted(crashes[i].completed);
+    out[i].setAge(ToWire(crashes[i].age));
   }
 }
 
@@ -44,6 +45,7 @@
   out.setEpoch(directory.epoch);
   out.setVersion(directory.version);
   out.setWhole(directory.whole);
+  out.setSettled(directory.settled);
   auto entries = out.initEntries(directory.entries.size());
   for (unsigned i = 0; i < entries.size(); ++i) {
     teaseljunction::Encode(directory.entries[i].daemon, entries[i].initDaemon());
@@ -56,6 +58,7 @@
   directory.epoch = in.getEpoch();
   directory.version = in.getVersion();
   directory.whole = in.getWhole();
+  directory.settled = in.getSettled();
   for (const auto entry : in.getEntries()) {
     directory.entries.push_back({teaseljunction::Decode(entry.getDaemon()), entry.getPresent()});
   }
@@ -119,8 +122,8 @@
     value.demands.push_back({FromText(demand.getClientAccount()), demand.getTokens()});
   }
   for (const auto crash : in.getCrashes()) {
-    value.crashes.push_back(
-        {FromText(crash.getFingerprint()), FromText(crash.getTarget()), crash.getCompleted()});
+    value.crashes.push_back({FromText(crash.getFingerprint()), FromText(crash.getTarget()),
+                             crash.getCompleted(), DurationFromWire(crash.getAge())});
   }
   return value;
 }
@@ -135,6 +138,8 @@
   for (unsigned i = 0; i < quarantined.size(); ++i) {
     quarantined.set(i, ToText(value.quarantined[i]));
   }
+  auto suspects = out.initSuspects(value.suspects.size());
+  for (unsigned i = 0; i < suspects.size(); ++i) suspects.set(i, ToText(value.suspects[i]));
 }
 
 sync_response Decode(wire::SyncResponse::Reader in) {
@@ -151,6 +156,9 @@
   for (const auto fingerprint : in.getQuarantined()) {
     value.quarantined.push_back(FromText(fingerprint));
   }
+  for (const auto fingerprint : in.getSuspects()) {
+    value.suspects.push_back(FromText(fingerprint));
+  }
   return value;
 }
 
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -51,6 +51,7 @@
   levelCohort @3 :UInt8;
   unusedAttempts @4 :UInt32;
   serviceTime @5 :Int64;
+  targetFailed @6 :Bool;
 }
 
 struct Target {
@@ -81,6 +82,7 @@
   fingerprint @0 :Text;
   target @1 :Text;
   completed @2 :Bool;
+  age @3 :Int64;
 }
 
 struct SyncRequest {
@@ -110,6 +112,7 @@
   version @1 :UInt64;
   whole @2 :Bool;
   entries @3 :List(DirectoryEntry);
+  settled @4 :Bool;
 }
 
 struct TokenGrant {
@@ -126,6 +129,7 @@
   directory @3 :Directory;
   grants @4 :List(TokenGrant);
   quarantined @5 :List(Text);
+  suspects @6 :List(Text);
 }
 
 struct Claim {
--- a/src/rpc/tests/convert_test.cc
+++ b/src/rpc/tests/convert_test.cc
@@ -73,13 +73,14 @@
   CHECK(received.level == result.level);
   CHECK(received.unused_attempts == 5);
 
-  sync_request sync{Daemon(), 1, "m", 2, 3, 4, {{"acme", 5}}, {{"f", "d2", true}}};
+  sync_request sync{Daemon(), 1, "m", 2, 3, 4, {{"acme", 5}}, {{"f", "d2", true, absl::Seconds(3)}}};
   CheckLossless<wire::SyncRequest>(sync);
   sync_response synced;
   synced.from_leader = true;
   synced.leader_address = "l";
   synced.manifest = {4, "d", "{}"};
-  synced.directory = {5, 6, true, {{Daemon(), false}}};
+  synced.directory = {5, 6, true, true, {{Daemon(), false}}};
+  synced.suspects = {"f3"};
   synced.grants = {{"acme", 7, absl::Seconds(1), absl::Milliseconds(5)}};
   synced.quarantined = {"f1", "f2"};
   CheckLossless<wire::SyncResponse>(synced);
