--- /dev/null
+++ b/src/common/internal/sockets.cc
@@ -0,0 +1,98 @@
+#include "common/sockets.h"
+
+#include <arpa/inet.h>
+#include <linux/filter.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <string>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr int kListenBacklog = 4096;
+
+template <class Address>
+socket_address Wrap(const Address& address) {
+  socket_address wrapped;
+  std::memcpy(&wrapped.storage, &address, sizeof(address));
+  wrapped.length = sizeof(address);
+  return wrapped;
+}
+
+boost::leaf::error_id SocketFailure(int fd, absl::string_view what) {
+  const std::string detail = absl::StrCat(what, ": ", std::strerror(errno));
+  if (fd >= 0) close(fd);
+  return Fail(error_kind::kSettingInvalid, detail);
+}
+
+}  // namespace
+
+result<socket_address> ParseSocketAddress(absl::string_view address) {
+  const size_t colon = address.rfind(':');
+  uint32_t port = 0;
+  if (colon == absl::string_view::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) ||
+      port > 65535) {
+    return Fail(error_kind::kSettingInvalid, absl::StrCat("no \"IP:port\": ", address));
+  }
+  absl::string_view host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    sockaddr_in6 v6 = {};
+    v6.sin6_family = AF_INET6;
+    v6.sin6_port = htons(static_cast<uint16_t>(port));
+    const std::string text(host.substr(1, host.size() - 2));
+    if (inet_pton(AF_INET6, text.c_str(), &v6.sin6_addr) == 1) return Wrap(v6);
+  }
+  sockaddr_in v4 = {};
+  v4.sin_family = AF_INET;
+  v4.sin_port = htons(static_cast<uint16_t>(port));
+  if (inet_pton(AF_INET, std::string(host.data(), host.size()).c_str(), &v4.sin_addr) == 1)
+    return Wrap(v4);
+  return Fail(error_kind::kSettingInvalid, absl::StrCat("no \"IP:port\": ", address));
+}
+
+result<int> OpenListenSocket(const socket_address& address, bool reuse_port) {
+  const int fd =
+      socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
+  if (fd < 0) return SocketFailure(fd, "socket");
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  // Accepted sockets inherit this option.
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  if (reuse_port && setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0) {
+    return SocketFailure(fd, "SO_REUSEPORT");
+  }
+  if (bind(fd, address.get(), address.length) != 0) return SocketFailure(fd, "bind");
+  if (listen(fd, kListenBacklog) != 0) return SocketFailure(fd, "listen");
+  return fd;
+}
+
+uint16_t BoundPort(int fd) {
+  sockaddr_storage storage = {};
+  socklen_t length = sizeof(storage);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &length) != 0) return 0;
+  if (storage.ss_family == AF_INET6) {
+    return ntohs(reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port);
+  }
+  return ntohs(reinterpret_cast<const sockaddr_in*>(&storage)->sin_port);
+}
+
+void IgnoreNewConnections(int fd) {
+  // Drops segments with SYN and without ACK. The filter sees the segment from its TCP header on,
+  // whose byte 13 holds the flags.
+  sock_filter code[] = {
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),          BPF_STMT(BPF_ALU | BPF_AND | BPF_K, 0x12),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, 0x02, 0, 1), BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
+  };
+  const sock_fprog program = {static_cast<unsigned short>(std::size(code)), code};
+  setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
+}  // namespace teaseljunction
