Add HTTP server and client

Cause: callers and targets use HTTP; the gateway needs a server that holds no thread per request and a client that never sends a request twice. Change: http_server on libmicrohttpd with suspended connections, disconnect detection and a planned stop; curl_client on libcurl multi; ProblemResponse from the error table. libcurl's own resending on kept connections is stopped with CURLOPT_PREREQFUNCTION, at_most_once requests use a new connection.

--- a/src/http/curl_client.h
+++ b/src/http/curl_client.h
@@ -23,7 +23,9 @@
 class curl_worker;
 
 /// HTTP/1.1 client on libcurl's multi interface. Each thread runs one multi handle with its own
-/// kept connections.
+/// kept connections. No request is sent twice: libcurl's own resending is stopped and reported as
+/// kTargetFailed. Responses whose end cannot be checked, with neither Content-Length nor chunked
+/// transfer, are kTargetFailed too.
 class curl_client : public http_client {
  public:
   /// Ends running requests with kCancelled.
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -23,6 +23,9 @@
   unsigned max_connections = 4096;
   /// Time after which a connection without traffic is closed. Running requests do not count.
   absl::Duration idle_timeout = absl::Seconds(60);
+  /// Time for which a planned stop keeps connections without a request open, so that a request that
+  /// is already on its way is answered.
+  absl::Duration drain_linger = absl::Seconds(2);
 };
 
 /// HTTP/1.1 server on libmicrohttpd. A connection is suspended while its request is handled and
@@ -44,16 +47,16 @@
   /// when requests were still open after `timeout`. The server is stopped in both cases.
   bool Drain(absl::Duration timeout);
 
-  /// Stops at once. Open requests get kDraining when their handler has not responded, and responses
-  /// after this call are ignored. Not to be called from a handler.
+  /// Stops at once. Requests whose handler has not responded are answered with kOutcomeUnknown, and
+  /// later responses are ignored. Not to be called from a handler.
   void Stop();
 
  private:
   friend class http_server_builder;
   class impl;
-  explicit http_server(std::shared_ptr<impl> state);
+  explicit http_server(std::unique_ptr<impl> state);
 
-  std::shared_ptr<impl> impl_;
+  std::unique_ptr<impl> impl_;
 };
 
 /// Builds an `http_server`.
@@ -65,6 +68,7 @@
   http_server_builder& MaxHeaderBytes(size_t bytes);
   http_server_builder& MaxConnections(unsigned connections);
   http_server_builder& IdleTimeout(absl::Duration timeout);
+  http_server_builder& DrainLinger(absl::Duration linger);
   /// The handler must outlive the server.
   http_server_builder& Handler(http_handler* handler);
 
--- /dev/null
+++ b/src/http/internal/curl_client.cc
@@ -0,0 +1,67 @@
+#include "http/curl_client.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+#include "common/clock_source.h"
+#include "http/internal/curl_transfer.h"
+#include "http/internal/curl_worker.h"
+
+namespace teaseljunction {
+namespace {
+
+void InitialiseCurl() {
+  static std::once_flag once;
+  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+}  // namespace
+
+curl_client::curl_client(const curl_client_settings& settings) {
+  InitialiseCurl();
+  for (unsigned i = 0; i < std::max(settings.threads, 1U); ++i) {
+    workers_.push_back(std::make_unique<curl_worker>(settings));
+  }
+}
+
+curl_client::~curl_client() = default;
+
+uint64_t curl_client::Send(absl::string_view address, http_request request, bool at_most_once,
+                           absl::Duration timeout,
+                           absl::AnyInvocable<void(outcome<http_response>)> completion) {
+  const uint64_t id = ++next_id_;
+  auto transfer =
+      std::make_unique<curl_transfer>(id, address, std::move(request), at_most_once,
+                                      system_clock_source().Now() + timeout, std::move(completion));
+  workers_[id % workers_.size()]->Send(std::move(transfer));
+  return id;
+}
+
+void curl_client::Cancel(uint64_t id) { workers_[id % workers_.size()]->Cancel(id); }
+
+curl_client_builder& curl_client_builder::Threads(unsigned threads) {
+  settings_.threads = threads;
+  return *this;
+}
+
+curl_client_builder& curl_client_builder::MaxResponseBytes(size_t bytes) {
+  settings_.max_response_bytes = bytes;
+  return *this;
+}
+
+curl_client_builder& curl_client_builder::MaxConnectionsPerHost(unsigned connections) {
+  settings_.max_connections_per_host = connections;
+  return *this;
+}
+
+curl_client_builder& curl_client_builder::ConnectTimeout(absl::Duration timeout) {
+  settings_.connect_timeout = timeout;
+  return *this;
+}
+
+std::unique_ptr<curl_client> curl_client_builder::Build() const {
+  return std::unique_ptr<curl_client>(new curl_client(settings_));
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/http/internal/curl_transfer.cc
@@ -0,0 +1,213 @@
+#include "http/internal/curl_transfer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "common/clock_source.h"
+#include "http/internal/headers.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
+/// Kept connections that were idle for longer are not used again, because servers often close them
+/// just when the next request is sent.
+constexpr long kMaxIdleSeconds = 20;
+
+bool IsToken(absl::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return absl::ascii_isalnum(c) || absl::StrContains("!#$%&'*+-.^_`|~", c);
+  });
+}
+
+bool SendsBody(absl::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+long Milliseconds(absl::Duration duration) {
+  const int64_t milliseconds =
+      absl::ToInt64Milliseconds(absl::Ceil(duration, absl::Milliseconds(1)));
+  return static_cast<long>(std::clamp<int64_t>(milliseconds, 1, int64_t{1} << 30));
+}
+
+}  // namespace
+
+curl_transfer::curl_transfer(uint64_t id, absl::string_view address, http_request request,
+                             bool at_most_once, absl::Time deadline, completion done)
+    : id_(id),
+      address_(address),
+      at_most_once_(at_most_once),
+      deadline_(deadline),
+      request_(std::move(request)),
+      done_(std::move(done)) {}
+
+bool curl_transfer::WellFormed() const {
+  const std::string& path = request_.path;
+  if (!IsToken(request_.method) || path.empty() || path[0] != '/') return false;
+  if (!IsHeaderText(path) || absl::StrContains(path, ' ')) return false;
+  return std::all_of(
+      request_.headers.begin(), request_.headers.end(),
+      [](const http_header& header) { return IsToken(header.name) && IsHeaderText(header.value); });
+}
+
+void curl_transfer::Prepare(curl_easy_handle easy, const curl_client_settings& settings) {
+  easy_ = std::move(easy);
+  curl_easy_reset(easy_.get());
+  SetRequest();
+  SetHeaders();
+  SetLimits(settings);
+}
+
+void curl_transfer::SetRequest() {
+  CURL* easy = easy_.get();
+  const std::string url = absl::StrCat("http://", address_, "/");
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request_.path.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+  if (!request_.body.empty() || SendsBody(request_.method)) {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request_.body.size()));
+    // The data is not copied; the request lives as long as the transfer.
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request_.body.c_str());
+  }
+  if (request_.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, at_most_once_ ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_transfer::OnSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+}
+
+void curl_transfer::SetHeaders() {
+  curl_slist* list = nullptr;
+  for (const http_header& header : request_.headers) {
+    if (IsTransferHeader(header.name)) continue;
+    // libcurl removes a header that ends with a colon, and sends an empty one for a semicolon.
+    const std::string line = header.value.empty() ? absl::StrCat(header.name, ";")
+                                                  : absl::StrCat(header.name, ": ", header.value);
+    list = curl_slist_append(list, line.c_str());
+  }
+  for (const char* name : {"Accept", "Content-Type"}) {
+    if (!FindHeader(request_.headers, name)) {
+      list = curl_slist_append(list, absl::StrCat(name, ":").c_str());
+    }
+  }
+  list = curl_slist_append(list, "Expect:");
+  headers_.reset(list);
+  curl_easy_setopt(easy_.get(), CURLOPT_HTTPHEADER, list);
+}
+
+void curl_transfer::SetLimits(const curl_client_settings& settings) {
+  CURL* easy = easy_.get();
+  max_response_bytes_ = settings.max_response_bytes;
+  const absl::Duration left = deadline_ - system_clock_source().Now();
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, Milliseconds(left));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, Milliseconds(settings.connect_timeout));
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &curl_transfer::OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &curl_transfer::OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+}
+
+int curl_transfer::OnSend(void* self, char*, char*, int, int) {
+  auto* transfer = static_cast<curl_transfer*>(self);
+  // libcurl sends a request again when a kept connection ends without a response. The server may
+  // have run the first one, and the caller did not account for a second one.
+  return ++transfer->sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+size_t curl_transfer::OnHeader(char* data, size_t size, size_t count, void* self) {
+  auto* transfer = static_cast<curl_transfer*>(self);
+  return transfer->ReadHeader(absl::string_view(data, size * count)) ? size * count : 0;
+}
+
+bool curl_transfer::ReadHeader(absl::string_view line) {
+  header_bytes_ += line.size();
+  if (header_bytes_ > kMaxResponseHeaderBytes) {
+    too_large_ = true;
+    return false;
+  }
+  if (absl::StartsWith(line, "HTTP/")) {
+    // Headers of an interim response do not belong to the final one.
+    response_.headers.clear();
+    length_known_ = false;
+    return true;
+  }
+  const size_t colon = line.find(':');
+  if (colon == absl::string_view::npos) return true;
+  const absl::string_view name = line.substr(0, colon);
+  const absl::string_view value = absl::StripAsciiWhitespace(line.substr(colon + 1));
+  if (absl::EqualsIgnoreCase(name, "Content-Length")) {
+    length_known_ = true;
+    uint64_t length = 0;
+    if (request_.method != "HEAD" && absl::SimpleAtoi(value, &length)) {
+      too_large_ = length > max_response_bytes_;
+      if (too_large_) return false;
+      response_.body.reserve(length);
+    }
+  }
+  if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) length_known_ = true;
+  const bool keep = request_.method == "HEAD" && absl::EqualsIgnoreCase(name, "Content-Length");
+  if (keep || !IsTransferHeader(name)) {
+    response_.headers.push_back(
+        {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+  }
+  return true;
+}
+
+size_t curl_transfer::OnBody(char* data, size_t size, size_t count, void* self) {
+  auto* transfer = static_cast<curl_transfer*>(self);
+  const size_t bytes = size * count;
+  if (bytes > transfer->max_response_bytes_ - transfer->response_.body.size()) {
+    transfer->too_large_ = true;
+    return 0;
+  }
+  transfer->response_.body.append(data, bytes);
+  return bytes;
+}
+
+bool curl_transfer::EndIsKnown() const {
+  return length_known_ || request_.method == "HEAD" || response_.status == 204 ||
+         response_.status == 304;
+}
+
+void curl_transfer::Finish(CURLcode code) {
+  if (code != CURLE_OK) {
+    done_(ErrorFor(code));
+    return;
+  }
+  long status = 0;
+  curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+  response_.status = static_cast<int>(status);
+  if (!EndIsKnown()) {
+    Fail(error_kind::kTargetFailed, "the response does not say where it ends");
+    return;
+  }
+  done_(std::move(response_));
+}
+
+void curl_transfer::Fail(error_kind kind, std::string detail) {
+  done_(error{kind, std::move(detail)});
+}
+
+error curl_transfer::ErrorFor(CURLcode code) const {
+  const char* detail = curl_easy_strerror(code);
+  if (too_large_) return {error_kind::kAnswerTooLarge, ""};
+  if (sends_ == 0) return {error_kind::kTargetUnreachable, detail};
+  if (code == CURLE_OPERATION_TIMEDOUT) return {error_kind::kDeadlineExceeded, ""};
+  if (code == CURLE_ABORTED_BY_CALLBACK) detail = "a kept connection ended without a response";
+  return {error_kind::kTargetFailed, detail};
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/http/internal/http_server.cc
@@ -0,0 +1,337 @@
+#include "http/http_server.h"
+
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "common/clock_source.h"
+#include "common/log.h"
+#include "common/sockets.h"
+#include "http/internal/headers.h"
+#include "http/internal/http_server_impl.h"
+#include "http/problem.h"
+
+namespace teaseljunction {
+namespace {
+
+/// Time for connections that were being set up when a planned stop began.
+constexpr absl::Duration kAcceptGrace = absl::Milliseconds(100);
+/// Time for responses to leave in a stop at once.
+constexpr absl::Duration kFlushTime = absl::Milliseconds(250);
+constexpr absl::Duration kPollInterval = absl::Milliseconds(2);
+/// Memory of a connection beyond the request headers: response headers and body reads.
+constexpr size_t kConnectionExtraBytes = size_t{16} << 10;
+
+server_connection* StateOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return info == nullptr ? nullptr : static_cast<server_connection*>(info->socket_context);
+}
+
+MHD_Result CollectHeader(void* cls, MHD_ValueKind, const char* key, size_t key_size,
+                         const char* value, size_t value_size) {
+  auto* headers = static_cast<std::vector<http_header>*>(cls);
+  headers->push_back({std::string(key, key_size),
+                      value == nullptr ? std::string() : std::string(value, value_size)});
+  return MHD_YES;
+}
+
+void FreeBody(void* cls) { delete static_cast<std::string*>(cls); }
+
+ssize_t ReadNothing(void*, uint64_t, char*, size_t) { return MHD_CONTENT_READER_END_OF_STREAM; }
+
+/// Response to HEAD with the length that the body would have.
+MHD_Response* HeadResponse(const http_response& response) {
+  uint64_t length = 0;
+  const auto header = FindHeader(response.headers, "Content-Length");
+  if (!header || !absl::SimpleAtoi(*header, &length)) length = response.body.size();
+  return MHD_create_response_from_callback(length, 1, &ReadNothing, nullptr, nullptr);
+}
+
+MHD_Response* BodyResponse(std::string body) {
+  auto* owned = new std::string(std::move(body));
+  MHD_Response* created = MHD_create_response_from_buffer_with_free_callback_cls(
+      owned->size(), owned->data(), &FreeBody, owned);
+  if (created == nullptr) FreeBody(owned);
+  return created;
+}
+
+}  // namespace
+
+http_server::impl::impl(http_server_settings settings, http_handler* handler)
+    : settings_(std::move(settings)),
+      handler_(handler),
+      watcher_(std::make_shared<disconnect_watcher>()) {}
+
+result<uint16_t> http_server::impl::Start() {
+  if (handler_ == nullptr) return Fail(error_kind::kSettingInvalid, "the server has no handler");
+  if (!watcher_->Usable()) return Fail(error_kind::kInternal, "epoll is not available");
+  BOOST_LEAF_AUTO(address, ParseSocketAddress(settings_.address));
+  BOOST_LEAF_AUTO(fd, OpenListenSocket(address, false));
+  listen_fd_ = fd;
+  const uint16_t port = BoundPort(fd);
+  watcher_->Start();
+  daemon_ = StartDaemon();
+  if (daemon_ == nullptr) {
+    watcher_->Stop();
+    close(std::exchange(listen_fd_, -1));
+    return Fail(error_kind::kInternal, "the HTTP server could not be started");
+  }
+  LOG(INFO) << "http: listening on port " << port;
+  return port;
+}
+
+MHD_Daemon* http_server::impl::StartDaemon() {
+  const auto timeout = static_cast<unsigned>(std::max<int64_t>(
+      absl::ToInt64Seconds(absl::Ceil(settings_.idle_timeout, absl::Seconds(1))), 1));
+  // The value 1 is refused with a warning; without the option there is one thread.
+  std::vector<MHD_OptionItem> pool;
+  if (settings_.threads > 1) {
+    pool.push_back(
+        {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(settings_.threads), nullptr});
+  }
+  pool.push_back({MHD_OPTION_END, 0, nullptr});
+  return MHD_start_daemon(
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      &impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, listen_fd_, MHD_OPTION_CONNECTION_LIMIT,
+      std::max(settings_.max_connections, settings_.threads), MHD_OPTION_CONNECTION_TIMEOUT,
+      timeout, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      2 * settings_.max_header_bytes + kConnectionExtraBytes, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+      MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+      &impl::OnConnection, this, MHD_OPTION_URI_LOG_CALLBACK, &impl::OnRequestLine, this,
+      MHD_OPTION_ARRAY, pool.data(), MHD_OPTION_END);
+}
+
+void http_server::impl::OnConnection(void* cls, MHD_Connection* connection, void** context,
+                                     MHD_ConnectionNotificationCode code) {
+  auto* self = static_cast<impl*>(cls);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    auto* state = new server_connection;
+    state->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    *context = state;
+    absl::MutexLock lock(&self->mutex_);
+    self->connections_.insert(state);
+    return;
+  }
+  const std::unique_ptr<server_connection> state(static_cast<server_connection*>(*context));
+  *context = nullptr;
+  if (state == nullptr) return;
+  if (state->busy) --self->busy_;
+  if (state->requests == 0) self->LogLimited("connection closed without a request");
+  absl::MutexLock lock(&self->mutex_);
+  self->connections_.erase(state.get());
+}
+
+void* http_server::impl::OnRequestLine(void* cls, const char* target, MHD_Connection* connection) {
+  auto* self = static_cast<impl*>(cls);
+  server_connection* state = StateOf(connection);
+  if (state == nullptr) return nullptr;
+  state->target = target;
+  ++state->requests;
+  if (!state->busy) ++self->busy_;
+  state->busy = true;
+  return nullptr;
+}
+
+MHD_Result http_server::impl::OnAccess(void* cls, MHD_Connection* connection, const char*,
+                                       const char* method, const char*, const char* data,
+                                       size_t* size, void** context) {
+  auto* self = static_cast<impl*>(cls);
+  if (*context == nullptr) return self->Begin(connection, method, context);
+  server_request& request = **static_cast<std::shared_ptr<server_request>*>(*context);
+  if (*size > 0) {
+    const absl::string_view part(data, *size);
+    *size = 0;
+    return request.AppendBody(part, self->settings_.max_body_bytes) ? MHD_YES : MHD_NO;
+  }
+  return self->Finish(connection, request);
+}
+
+MHD_Result http_server::impl::Begin(MHD_Connection* connection, const char* method,
+                                    void** context) {
+  server_connection* state = StateOf(connection);
+  if (state == nullptr) return MHD_NO;
+  auto request = std::make_shared<server_request>(++next_id_, connection, watcher_);
+  *context = new std::shared_ptr<server_request>(request);
+  request->message.method = method;
+  request->head = request->message.method == MHD_HTTP_METHOD_HEAD;
+  const absl::optional<error> refusal = CheckHeaders(connection, *state, *request);
+  if (refusal) return Refuse(connection, *refusal);
+  request->message.path = std::move(state->target);
+  return MHD_YES;
+}
+
+absl::optional<error> http_server::impl::CheckHeaders(MHD_Connection* connection,
+                                                      const server_connection& state,
+                                                      server_request& request) const {
+  std::vector<http_header>& headers = request.message.headers;
+  MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &CollectHeader, &headers);
+  size_t bytes = state.target.size() + request.message.method.size();
+  int lengths = 0;
+  for (const http_header& header : headers) {
+    bytes += header.name.size() + header.value.size();
+    if (absl::EqualsIgnoreCase(header.name, "Content-Length")) ++lengths;
+  }
+  if (bytes > settings_.max_header_bytes) return error{error_kind::kHeadersTooLarge, ""};
+  if (state.target.empty() || state.target[0] != '/' || !IsHeaderText(state.target)) {
+    return error{error_kind::kMalformedRequest, "the request target is not a path"};
+  }
+  // Two lengths of one body can be read differently by the next hop.
+  if (lengths > 1 || (lengths == 1 && FindHeader(headers, "Transfer-Encoding"))) {
+    return error{error_kind::kMalformedRequest, "the length of the body is ambiguous"};
+  }
+  uint64_t length = 0;
+  const auto declared = FindHeader(headers, "Content-Length");
+  if (!declared) return absl::nullopt;
+  if (!absl::SimpleAtoi(*declared, &length)) {
+    return error{error_kind::kMalformedRequest, "Content-Length is not a number"};
+  }
+  if (length <= settings_.max_body_bytes) {
+    request.message.body.reserve(length);
+    return absl::nullopt;
+  }
+  if (length > kMaxDroppedBytes || FindHeader(headers, "Expect")) {
+    return error{error_kind::kBodyTooLarge, ""};
+  }
+  request.refusal = error{error_kind::kBodyTooLarge, ""};
+  return absl::nullopt;
+}
+
+MHD_Result http_server::impl::Finish(MHD_Connection* connection, server_request& request) {
+  if (!request.handed) {
+    if (request.refusal) return Refuse(connection, *request.refusal);
+    if (!Register(request)) return Refuse(connection, {error_kind::kDraining, ""});
+    if (!request.Hand(handler_)) return MHD_YES;
+  }
+  absl::optional<http_response> response = request.TakeResponse();
+  if (!response) return MHD_NO;
+  return Queue(connection, request.head, *std::move(response));
+}
+
+MHD_Result http_server::impl::Refuse(MHD_Connection* connection, const error& failure) {
+  LogLimited(absl::StrCat("request refused: ", AnswerFor(failure.kind).name));
+  return Queue(connection, false, ProblemResponse(failure, ""));
+}
+
+MHD_Result http_server::impl::Queue(MHD_Connection* connection, bool head, http_response response) {
+  if (response.status < 200 || response.status > 599) {
+    response = ProblemResponse({error_kind::kInternal, "status out of range"}, "");
+  }
+  MHD_Response* created = head ? HeadResponse(response) : BodyResponse(std::move(response.body));
+  if (created == nullptr) return MHD_NO;
+  for (const http_header& header : response.headers) {
+    if (IsTransferHeader(header.name)) continue;
+    MHD_add_response_header(created, header.name.c_str(), header.value.c_str());
+  }
+  if (draining_) MHD_add_response_header(created, MHD_HTTP_HEADER_CONNECTION, "close");
+  const MHD_Result queued =
+      MHD_queue_response(connection, static_cast<unsigned>(response.status), created);
+  MHD_destroy_response(created);
+  return queued;
+}
+
+void http_server::impl::OnCompleted(void* cls, MHD_Connection* connection, void** context,
+                                    MHD_RequestTerminationCode code) {
+  auto* self = static_cast<impl*>(cls);
+  server_connection* state = StateOf(connection);
+  if (state != nullptr && state->busy) {
+    state->busy = false;
+    --self->busy_;
+  }
+  const std::unique_ptr<std::shared_ptr<server_request>> request(
+      static_cast<std::shared_ptr<server_request>*>(*context));
+  *context = nullptr;
+  if (request == nullptr) return;
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+    self->LogLimited("connection ended before the response was sent");
+  }
+  (*request)->End();
+  absl::MutexLock lock(&self->mutex_);
+  self->requests_.erase(*request);
+}
+
+bool http_server::impl::Register(server_request& request) {
+  absl::MutexLock lock(&mutex_);
+  if (stopping_) return false;
+  requests_.insert(request.shared_from_this());
+  return true;
+}
+
+bool http_server::impl::InputPending() {
+  absl::MutexLock lock(&mutex_);
+  return std::any_of(connections_.begin(), connections_.end(), [](const server_connection* state) {
+    int bytes = 0;
+    return ioctl(state->fd, FIONREAD, &bytes) == 0 && bytes > 0;
+  });
+}
+
+bool http_server::impl::Drain(absl::Duration timeout) {
+  if (daemon_ == nullptr) return true;
+  const absl::Time deadline = system_clock_source().Now() + timeout;
+  draining_ = true;
+  IgnoreNewConnections(listen_fd_);
+  absl::SleepFor(std::min(kAcceptGrace, timeout));
+  CloseListenSocket();
+  const absl::Time linger_end = system_clock_source().Now() + settings_.drain_linger;
+  while (system_clock_source().Now() < deadline) {
+    {
+      absl::MutexLock lock(&mutex_);
+      if (connections_.empty()) break;
+    }
+    if (system_clock_source().Now() >= linger_end && !InputPending() && busy_ == 0) break;
+    absl::SleepFor(kPollInterval);
+  }
+  const bool drained = busy_ == 0;
+  Stop();
+  return drained;
+}
+
+void http_server::impl::CloseListenSocket() {
+  quiesced_ = MHD_quiesce_daemon(daemon_) != MHD_INVALID_SOCKET;
+  // Threads may still use the descriptor, so it is closed after the daemon has stopped.
+  if (quiesced_) shutdown(listen_fd_, SHUT_RDWR);
+}
+
+void http_server::impl::Stop() {
+  if (daemon_ == nullptr) return;
+  std::vector<std::shared_ptr<server_request>> open;
+  {
+    absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+    open.assign(requests_.begin(), requests_.end());
+  }
+  draining_ = true;
+  // libmicrohttpd aborts the process when a connection is still suspended at its stop.
+  for (const auto& request : open) {
+    request->Respond(ProblemResponse({error_kind::kOutcomeUnknown, "the daemon stopped"}, ""));
+  }
+  const absl::Time flushed = system_clock_source().Now() + kFlushTime;
+  while (busy_ > 0 && system_clock_source().Now() < flushed) absl::SleepFor(kPollInterval);
+  MHD_stop_daemon(std::exchange(daemon_, nullptr));
+  watcher_->Stop();
+  if (quiesced_) close(listen_fd_);
+  listen_fd_ = -1;
+  LOG(INFO) << "http: stopped";
+}
+
+void http_server::impl::LogLimited(absl::string_view line) {
+  const auto left_out = limiter_.Allow();
+  if (!left_out) return;
+  LOG(WARNING) << "http: " << line << (*left_out > 0 ? absl::StrCat(", ", *left_out, " more") : "");
+}
+
+http_server::http_server(std::unique_ptr<impl> state) : impl_(std::move(state)) {}
+http_server::~http_server() { impl_->Stop(); }
+result<uint16_t> http_server::Start() { return impl_->Start(); }
+bool http_server::Drain(absl::Duration timeout) { return impl_->Drain(timeout); }
+void http_server::Stop() { impl_->Stop(); }
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/http/internal/server_request.cc
@@ -0,0 +1,138 @@
+#include "http/internal/server_request.h"
+
+#include <utility>
+
+#include "http/problem.h"
+
+namespace teaseljunction {
+namespace {
+
+int SocketOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info == nullptr ? -1 : info->connect_fd;
+}
+
+class request_exchange : public http_exchange {
+ public:
+  explicit request_exchange(std::shared_ptr<server_request> request)
+      : request_(std::move(request)) {}
+
+  ~request_exchange() override {
+    request_->Respond(ProblemResponse({error_kind::kInternal, "no response was produced"}, ""));
+  }
+
+  void Respond(http_response response) override { request_->Respond(std::move(response)); }
+
+  void OnDisconnect(absl::AnyInvocable<void()> callback) override {
+    request_->OnDisconnect(std::move(callback));
+  }
+
+ private:
+  const std::shared_ptr<server_request> request_;
+};
+
+}  // namespace
+
+server_request::server_request(uint64_t id, MHD_Connection* connection,
+                               std::shared_ptr<disconnect_watcher> watcher)
+    : id_(id), connection_(connection), fd_(SocketOf(connection)), watcher_(std::move(watcher)) {}
+
+bool server_request::AppendBody(absl::string_view data, size_t limit) {
+  if (!refusal && data.size() > limit - message.body.size()) {
+    refusal = error{error_kind::kBodyTooLarge, ""};
+    message.body = std::string();
+  }
+  if (refusal) {
+    dropped_bytes_ += data.size();
+    return dropped_bytes_ <= kMaxDroppedBytes;
+  }
+  message.body.append(data.data(), data.size());
+  return true;
+}
+
+bool server_request::Hand(http_handler* handler) {
+  {
+    absl::MutexLock lock(&mutex_);
+    phase_ = phase::kHandling;
+  }
+  handed = true;
+  handler->Handle(std::move(message), MakeExchange(shared_from_this()));
+  absl::MutexLock lock(&mutex_);
+  if (responded_) return true;
+  phase_ = phase::kSuspended;
+  // Respond resumes the connection under the same lock, so never before this call.
+  MHD_suspend_connection(connection_);
+  if (on_disconnect_) Watch();
+  return false;
+}
+
+absl::optional<http_response> server_request::TakeResponse() {
+  absl::MutexLock lock(&mutex_);
+  if (gone_) return absl::nullopt;
+  return std::exchange(response_, absl::nullopt);
+}
+
+void server_request::Respond(http_response response) {
+  absl::AnyInvocable<void()> dropped;
+  absl::MutexLock lock(&mutex_);
+  if (responded_ || gone_ || phase_ == phase::kEnded) return;
+  responded_ = true;
+  response_ = std::move(response);
+  dropped = std::move(on_disconnect_);
+  on_disconnect_ = nullptr;
+  if (phase_ == phase::kSuspended) Resume();
+}
+
+void server_request::OnDisconnect(absl::AnyInvocable<void()> callback) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (responded_) return;
+    if (!gone_ && phase_ != phase::kEnded) {
+      on_disconnect_ = std::move(callback);
+      if (phase_ == phase::kSuspended) Watch();
+      return;
+    }
+  }
+  callback();
+}
+
+void server_request::ClientGone() {
+  absl::AnyInvocable<void()> callback;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (phase_ != phase::kSuspended) return;
+    gone_ = true;
+    callback = std::move(on_disconnect_);
+    on_disconnect_ = nullptr;
+    Resume();
+  }
+  if (callback) callback();
+}
+
+void server_request::End() {
+  absl::AnyInvocable<void()> dropped;
+  absl::MutexLock lock(&mutex_);
+  phase_ = phase::kEnded;
+  dropped = std::move(on_disconnect_);
+  on_disconnect_ = nullptr;
+}
+
+void server_request::Watch() {
+  if (watched_) return;
+  watched_ = true;
+  watcher_->Watch(id_, fd_, weak_from_this());
+}
+
+void server_request::Resume() {
+  phase_ = phase::kResumed;
+  // The descriptor belongs to the suspended connection; after the resume it may be closed.
+  if (watched_) watcher_->Unwatch(id_, fd_);
+  MHD_resume_connection(connection_);
+}
+
+std::shared_ptr<http_exchange> MakeExchange(std::shared_ptr<server_request> request) {
+  return std::make_shared<request_exchange>(std::move(request));
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/http/tests/curl_client_test.cc
@@ -0,0 +1,176 @@
+#include "http/curl_client.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
+#include "http/tests/raw_socket.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr absl::Duration kLong = absl::Seconds(10);
+
+using http_outcome = outcome<http_response>;
+
+std::future<http_outcome> SendAsync(http_client& client, const std::string& address,
+                                    bool at_most_once, absl::Duration timeout,
+                                    uint64_t* id = nullptr) {
+  auto promise = std::make_shared<std::promise<http_outcome>>();
+  std::future<http_outcome> future = promise->get_future();
+  http_request request{"POST", "/orders?a=b", {{"X-Test", "1"}}, "body"};
+  const uint64_t sent = client.Send(address, std::move(request), at_most_once, timeout,
+                                    [promise](http_outcome done) { promise->set_value(done); });
+  if (id != nullptr) *id = sent;
+  return future;
+}
+
+error_kind KindOf(const http_outcome& done) {
+  REQUIRE(done.index() == 1);
+  return std::get<1>(done).kind;
+}
+
+std::string Response(absl::string_view headers, absl::string_view body) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\n", headers, "\r\n", body);
+}
+
+struct fault_case {
+  std::string name;
+  std::string reply;
+  error_kind expected;
+};
+
+}  // namespace
+
+// Guards against a response that is passed on although it is not whole, and against an error kind
+// that says "not run" after the request was sent.
+TEST_CASE("faults of the server give their error kind") {
+  const std::vector<fault_case> cases = {
+      {"closed without a response", "", error_kind::kTargetFailed},
+      {"closed within the headers", "HTTP/1.1 200 OK\r\nConte", error_kind::kTargetFailed},
+      {"closed within the body", Response("Content-Length: 10\r\n", "12345"),
+       error_kind::kTargetFailed},
+      {"closed within a chunk", Response("Transfer-Encoding: chunked\r\n", "a\r\n12345"),
+       error_kind::kTargetFailed},
+      {"closed before the last chunk", Response("Transfer-Encoding: chunked\r\n", "2\r\n12\r\n"),
+       error_kind::kTargetFailed},
+      {"no length", Response("", "12345"), error_kind::kTargetFailed},
+      {"no HTTP", "SSH-2.0-x\r\n\r\n", error_kind::kTargetFailed},
+      {"length is no number", Response("Content-Length: x\r\n", "1"), error_kind::kTargetFailed},
+      {"length over the limit", Response("Content-Length: 2000\r\n", ""),
+       error_kind::kAnswerTooLarge},
+      {"chunks over the limit",
+       Response("Transfer-Encoding: chunked\r\n",
+                absl::StrCat("7d0\r\n", std::string(2000, 'x'), "\r\n0\r\n\r\n")),
+       error_kind::kAnswerTooLarge},
+      {"headers over the limit", Response("A: " + std::string(80000, 'x') + "\r\n", ""),
+       error_kind::kAnswerTooLarge},
+  };
+  const auto client = curl_client_builder().MaxResponseBytes(1000).Build();
+  for (const fault_case& fault : cases) {
+    for (const bool at_most_once : {false, true}) {
+      INFO(fault.name << ", at most once " << at_most_once);
+      raw_server server([&](raw_socket& connection) {
+        connection.ReadUntil("body");
+        connection.Write(fault.reply);
+      });
+      CHECK(KindOf(SendAsync(*client, server.address(), at_most_once, kLong).get()) ==
+            fault.expected);
+      CHECK(server.connections() == 1);
+    }
+  }
+}
+
+// Guards against a lost header, a changed request line, and headers that libcurl adds on its own.
+TEST_CASE("request and response pass unchanged") {
+  std::promise<std::string> received;
+  raw_server server([&](raw_socket& connection) {
+    received.set_value(connection.ReadUntil("body"));
+    connection.Write("HTTP/1.1 100 Continue\r\nX-Interim: 1\r\n\r\n");
+    connection.Write("HTTP/1.1 201 Created\r\nX-Reply: 2\r\nContent-Length: 3\r\n\r\nabc");
+  });
+  const auto client = curl_client_builder().Build();
+  const http_outcome done = SendAsync(*client, server.address(), false, kLong).get();
+  REQUIRE(done.index() == 0);
+  CHECK(std::get<0>(done).status == 201);
+  CHECK(std::get<0>(done).body == "abc");
+  REQUIRE(std::get<0>(done).headers.size() == 1);
+  CHECK(std::get<0>(done).headers[0].name == "X-Reply");
+  CHECK(received.get_future().get() ==
+        absl::StrCat("POST /orders?a=b HTTP/1.1\r\nHost: ", server.address(),
+                     "\r\nX-Test: 1\r\nContent-Length: 4\r\n\r\nbody"));
+}
+
+// Guards against a request that runs twice: libcurl sends a request again by itself when a kept
+// connection is closed before the first byte of the response.
+TEST_CASE("a request is sent once when the server closes the connection after reading it") {
+  const bool at_most_once = GENERATE(false, true);
+  std::atomic<int> requests = 0;
+  std::atomic<bool> answer = true;
+  raw_server server([&](raw_socket& connection) {
+    while (absl::StrContains(connection.ReadUntil("body"), "POST")) {
+      ++requests;
+      if (!answer) return;
+      connection.Write(Response("Content-Length: 0\r\n", ""));
+    }
+  });
+  const auto client = curl_client_builder().Threads(1).Build();
+  REQUIRE(SendAsync(*client, server.address(), false, kLong).get().index() == 0);
+  answer = false;
+  CHECK(KindOf(SendAsync(*client, server.address(), at_most_once, kLong).get()) ==
+        error_kind::kTargetFailed);
+  CHECK(requests == 2);
+}
+
+// Guards against "not run" for a request that was sent, and against a caller that waits forever.
+TEST_CASE("unreachable, silent and cancelled") {
+  const auto client = curl_client_builder().Build();
+  CHECK(KindOf(SendAsync(*client, ClosedAddress(), true, kLong).get()) ==
+        error_kind::kTargetUnreachable);
+  absl::Notification end;
+  raw_server server([&](raw_socket& connection) {
+    connection.ReadUntil("body");
+    end.WaitForNotification();
+  });
+  CHECK(KindOf(SendAsync(*client, server.address(), true, absl::Milliseconds(100)).get()) ==
+        error_kind::kDeadlineExceeded);
+  uint64_t id = 0;
+  auto cancelled = SendAsync(*client, server.address(), true, kLong, &id);
+  client->Cancel(id);
+  CHECK(KindOf(cancelled.get()) == error_kind::kCancelled);
+  end.Notify();
+}
+
+// Guards against a completion that is lost when the client is destroyed.
+TEST_CASE("running requests are completed at shutdown") {
+  raw_server server([](raw_socket& connection) { connection.ReadAll(); });
+  auto client = curl_client_builder().Build();
+  std::vector<std::future<http_outcome>> running;
+  for (int i = 0; i < 20; ++i) running.push_back(SendAsync(*client, server.address(), true, kLong));
+  client.reset();
+  for (auto& future : running) CHECK(KindOf(future.get()) == error_kind::kCancelled);
+}
+
+// Guards against header or request line injection by a value with a line break.
+TEST_CASE("malformed requests are not sent") {
+  const auto client = curl_client_builder().Build();
+  for (const http_request& request :
+       std::vector<http_request>{{"GET", "/a b", {}, ""},
+                                 {"GET", "/a\r\nX: 1", {}, ""},
+                                 {"GET", "", {}, ""},
+                                 {"G ET", "/", {}, ""},
+                                 {"GET", "/", {{"X", "1\r\nY: 2"}}, ""},
+                                 {"GET", "/", {{"X:", "1"}}, ""}}) {
+    std::promise<http_outcome> promise;
+    client->Send(ClosedAddress(), request, false, kLong,
+                 [&](http_outcome done) { promise.set_value(done); });
+    CHECK(KindOf(promise.get_future().get()) == error_kind::kMalformedRequest);
+  }
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/http/tests/http_server_test.cc
@@ -0,0 +1,289 @@
+#include "http/http_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/synchronization/notification.h"
+#include "http/problem.h"
+#include "http/tests/raw_socket.h"
+
+namespace teaseljunction {
+namespace {
+
+using handle_function = std::function<void(http_request, std::shared_ptr<http_exchange>)>;
+
+class function_handler : public http_handler {
+ public:
+  explicit function_handler(handle_function handle) : handle_(std::move(handle)) {}
+  void Handle(http_request request, std::shared_ptr<http_exchange> exchange) override {
+    handle_(std::move(request), std::move(exchange));
+  }
+
+ private:
+  const handle_function handle_;
+};
+
+/// Responds to a request with its method, path and body.
+void Echo(const http_request& request, http_exchange& exchange) {
+  exchange.Respond({200, {}, absl::StrCat(request.method, " ", request.path, " ", request.body)});
+}
+
+void EchoAtOnce(http_request request, std::shared_ptr<http_exchange> exchange) {
+  Echo(request, *exchange);
+}
+
+/// Responds from another thread.
+void EchoLater(http_request request, std::shared_ptr<http_exchange> exchange) {
+  std::thread([request = std::move(request), exchange = std::move(exchange)] {
+    Echo(request, *exchange);
+  }).detach();
+}
+
+struct running_server {
+  explicit running_server(handle_function handle, absl::Duration idle = absl::Seconds(30))
+      : handler(std::move(handle)) {
+    server = http_server_builder()
+                 .Address("127.0.0.1:0")
+                 .Threads(2)
+                 .MaxBodyBytes(1000)
+                 .MaxHeaderBytes(4096)
+                 .IdleTimeout(idle)
+                 .DrainLinger(absl::Milliseconds(300))
+                 .Handler(&handler)
+                 .Build();
+    const auto started = Capture<uint16_t>([&] { return server->Start(); });
+    REQUIRE(started.index() == 0);
+    port = std::get<0>(started);
+  }
+
+  function_handler handler;
+  std::unique_ptr<http_server> server;
+  uint16_t port = 0;
+};
+
+std::string Request(absl::string_view line, absl::string_view headers = "",
+                    absl::string_view body = "") {
+  return absl::StrCat(line, " HTTP/1.1\r\nHost: a\r\n", headers, "\r\n", body);
+}
+
+struct request_case {
+  std::string name;
+  std::string request;
+  std::string status;
+};
+
+}  // namespace
+
+// Guards against a request that reaches the handler although it is too large or ambiguous, and
+// against a refusal without its own status.
+TEST_CASE("requests that cannot be accepted are refused") {
+  const std::string big(2000, 'x');
+  const std::vector<request_case> cases = {
+      {"body over the limit", Request("POST /", "Content-Length: 2000\r\n", big), "413"},
+      {"body over the limit, not sent", Request("POST /", "Content-Length: 99999999\r\n"), "413"},
+      {"expected body over the limit",
+       Request("POST /", "Content-Length: 2000\r\nExpect: 100-continue\r\n"), "413"},
+      {"chunks over the limit",
+       Request("POST /", "Transfer-Encoding: chunked\r\n", "7d0\r\n" + big + "\r\n0\r\n\r\n"),
+       "413"},
+      {"headers over the limit", Request("GET /", "A: " + big + "\r\nB: " + big + big + "\r\n"),
+       "431"},
+      // libmicrohttpd closes the connection without a response when the request line has no target
+      // or too many parts.
+      {"no request line", "\x01\x02garbage\r\n\r\n", ""},
+      {"space in the target", Request("GET /a b"), ""},
+      {"no HTTP", "garbage xyz\r\n\r\n", "400"},
+      {"unknown HTTP version", "GET / HTTP/3.1\r\n\r\n", "505"},
+      {"header without a colon", Request("GET /", "ab\r\n"), "400"},
+      {"no host", "GET / HTTP/1.1\r\n\r\n", "400"},
+      {"target is no path", Request("GET http://a/b"), "400"},
+      {"two lengths", Request("POST /", "Content-Length: 1\r\nContent-Length: 2\r\n", "12"), "400"},
+      {"length and chunks",
+       Request("POST /", "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+       "400"},
+      {"length is no number", Request("POST /", "Content-Length: 1x\r\n", "1"), "400"},
+  };
+  std::atomic<int> handled = 0;
+  running_server running([&](http_request request, std::shared_ptr<http_exchange> exchange) {
+    ++handled;
+    Echo(request, *exchange);
+  });
+  for (const request_case& each : cases) {
+    INFO(each.name);
+    const raw_socket client = raw_socket::Connect(running.port);
+    client.Write(each.request);
+    const std::string response = client.ReadUntil("\r\n");
+    CHECK(response.substr(std::min<size_t>(response.size(), 9), 3) == each.status);
+  }
+  CHECK(handled == 0);
+  const raw_socket client = raw_socket::Connect(running.port);
+  client.Write(Request("GET /after"));
+  CHECK(absl::StrContains(client.ReadUntil("GET /after "), "GET /after "));
+}
+
+// Guards against a response on another request's connection, a changed target and a lost body.
+TEST_CASE("requests on kept connections get their own response") {
+  const handle_function handle = GENERATE(handle_function(EchoAtOnce), handle_function(EchoLater));
+  running_server running(handle);
+  std::vector<std::thread> clients;
+  std::atomic<int> right = 0;
+  for (int i = 0; i < 8; ++i) {
+    clients.emplace_back([&, i] {
+      const raw_socket client = raw_socket::Connect(running.port);
+      for (int j = 0; j < 50; ++j) {
+        const std::string target = absl::StrCat("/a%20b/", i, "?q=", j);
+        const std::string expected = absl::StrCat("POST ", target, " body");
+        client.Write(Request("POST " + target, "Content-Length: 4\r\n", "body"));
+        if (absl::EndsWith(client.ReadUntil(expected), expected)) ++right;
+      }
+    });
+  }
+  for (std::thread& client : clients) client.join();
+  CHECK(right == 400);
+}
+
+// Guards against work for a caller that has gone, against a callback that runs after the response,
+// and against a response that is written to the next connection with the same descriptor.
+TEST_CASE("a client that disconnects is reported once") {
+  absl::Mutex mutex;
+  std::vector<std::shared_ptr<http_exchange>> kept;
+  std::atomic<int> gone = 0;
+  running_server running([&](http_request request, std::shared_ptr<http_exchange> exchange) {
+    exchange->OnDisconnect([&] { ++gone; });
+    if (request.path == "/wait") {
+      absl::MutexLock lock(&mutex);
+      kept.push_back(exchange);
+      return;
+    }
+    Echo(request, *exchange);
+  });
+  const int clients = 20;
+  for (int i = 0; i < clients; ++i) {
+    raw_socket client = raw_socket::Connect(running.port);
+    client.Write(Request("GET /wait"));
+    mutex.LockWhen(absl::Condition(
+        +[](std::vector<std::shared_ptr<http_exchange>>* all) { return !all->empty(); }, &kept));
+    mutex.Unlock();
+    client.Close();
+    // The next connection often gets the descriptor of the one that was closed.
+    const raw_socket next = raw_socket::Connect(running.port);
+    next.Write(Request("GET /next"));
+    {
+      absl::MutexLock lock(&mutex);
+      kept.back()->Respond({200, {}, "late"});
+      kept.clear();
+    }
+    CHECK(absl::EndsWith(next.ReadUntil("GET /next "), "GET /next "));
+  }
+  CHECK(gone <= clients);
+  raw_socket client = raw_socket::Connect(running.port);
+  gone = 0;
+  client.Write(Request("GET /wait"));
+  mutex.LockWhen(absl::Condition(
+      +[](std::vector<std::shared_ptr<http_exchange>>* all) { return !all->empty(); }, &kept));
+  mutex.Unlock();
+  client.Close();
+  for (int i = 0; i < 5000 && gone == 0; ++i) absl::SleepFor(absl::Milliseconds(2));
+  CHECK(gone == 1);
+  absl::MutexLock lock(&mutex);
+  kept.clear();
+}
+
+// Guards against a connection that stays suspended when its handler forgets it.
+TEST_CASE("a dropped exchange is answered") {
+  running_server running([](const http_request&, const std::shared_ptr<http_exchange>&) {});
+  const raw_socket client = raw_socket::Connect(running.port);
+  client.Write(Request("GET /"));
+  const std::string response = client.ReadUntil("}");
+  CHECK(absl::StrContains(response, " 500 "));
+  CHECK(absl::StrContains(response, "Teaseljunction-Outcome: may-have-run"));
+}
+
+// Guards against connections that are held open without a request.
+TEST_CASE("a silent connection is closed after the idle timeout") {
+  running_server running(EchoAtOnce, absl::Seconds(1));
+  const raw_socket client = raw_socket::Connect(running.port);
+  CHECK(client.ReadAll().empty());
+}
+
+// Guards against a planned stop that cuts a running request, or one that arrives on a kept
+// connection during the stop.
+TEST_CASE("drain answers running and arriving requests") {
+  absl::Notification release;
+  absl::Notification arrived;
+  running_server running([&](http_request request, std::shared_ptr<http_exchange> exchange) {
+    if (request.path != "/slow") {
+      Echo(request, *exchange);
+      return;
+    }
+    arrived.Notify();
+    std::thread([&, request, exchange] {
+      release.WaitForNotification();
+      Echo(request, *exchange);
+    }).detach();
+  });
+  const raw_socket slow = raw_socket::Connect(running.port);
+  slow.Write(Request("GET /slow"));
+  arrived.WaitForNotification();
+  const raw_socket kept = raw_socket::Connect(running.port);
+  kept.Write(Request("GET /first"));
+  kept.ReadUntil("GET /first ");
+  bool drained = false;
+  std::thread drain([&] { drained = running.server->Drain(absl::Seconds(20)); });
+  // Ends once the drain has closed the listening socket.
+  for (int i = 0; i < 5000 && raw_socket::Connect(running.port).connected(); ++i) {
+    absl::SleepFor(absl::Milliseconds(1));
+  }
+  kept.Write(Request("GET /second"));
+  const std::string second = kept.ReadAll();
+  CHECK(absl::StrContains(second, "Connection: close"));
+  CHECK(absl::EndsWith(second, "GET /second "));
+  release.Notify();
+  CHECK(absl::EndsWith(slow.ReadAll(), "GET /slow "));
+  drain.join();
+  CHECK(drained);
+}
+
+// Guards against an abort of the process, and against "not run" for a request that may have run.
+TEST_CASE("stop answers requests that still run") {
+  std::shared_ptr<http_exchange> kept;
+  absl::Notification arrived;
+  running_server running([&](const http_request&, std::shared_ptr<http_exchange> exchange) {
+    kept = std::move(exchange);
+    arrived.Notify();
+  });
+  const raw_socket client = raw_socket::Connect(running.port);
+  client.Write(Request("GET /"));
+  arrived.WaitForNotification();
+  CHECK_FALSE(running.server->Drain(absl::Milliseconds(200)));
+  CHECK(absl::StrContains(client.ReadAll(), "Teaseljunction-Outcome: may-have-run"));
+  kept->Respond({200, {}, "late"});
+}
+
+// Guards against a status, outcome or Retry-After that differs from the error table.
+TEST_CASE("problem documents follow the error table") {
+  for (int i = 0; i < kErrorKindCount; ++i) {
+    const error_answer& answer = AnswerFor(static_cast<error_kind>(i));
+    const http_response response =
+        ProblemResponse({answer.kind, "a \"b\"\n"}, "id1", absl::Milliseconds(1500));
+    INFO(answer.name);
+    CHECK(response.status == answer.status);
+    CHECK(FindHeader(response.headers, "Teaseljunction-Outcome") ==
+          (answer.run == run_state::kNotRun ? "not-run" : "may-have-run"));
+    CHECK(FindHeader(response.headers, "Retry-After").value_or("") ==
+          (answer.retry_after ? "2" : ""));
+    CHECK(absl::StrContains(response.body, "\"detail\":\"a \\\"b\\\"\\u000a\""));
+    CHECK(absl::StrContains(response.body, absl::StrCat("\"status\":", answer.status, ",")));
+    CHECK(absl::EndsWith(response.body, ",\"requestId\":\"id1\"}"));
+  }
+}
+
+}  // namespace teaseljunction
