Add RPC server and client between daemons

Cause: daemons talk to each other over Cap'n Proto RPC. Change: schema, generated code, conversions, rpc_server with one event loop and listening socket per thread, rpc_peer_client with one connection per address.

--- /dev/null
+++ b/src/rpc/internal/convert_sync.cc
@@ -0,0 +1,157 @@
+#include "rpc/internal/convert.h"
+
+namespace teaseljunction {
+namespace {
+
+void Encode(const target_announcement& value, wire::Target::Builder out) {
+  out.setService(ToText(value.service));
+  out.setIncarnation(value.incarnation);
+  out.setSlots(value.slots);
+  out.setDraining(value.draining);
+  out.setLoad(value.load);
+  out.setAddress(ToText(value.address));
+}
+
+target_announcement Decode(wire::Target::Reader in) {
+  target_announcement value;
+  value.service = FromText(in.getService());
+  value.incarnation = in.getIncarnation();
+  value.slots = in.getSlots();
+  value.draining = in.getDraining();
+  value.load = in.getLoad();
+  value.address = FromText(in.getAddress());
+  return value;
+}
+
+void EncodeDemands(const std::vector<token_demand>& demands,
+                   capnp::List<wire::TokenDemand>::Builder out) {
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out[i].setClientAccount(ToText(demands[i].client_account));
+    out[i].setTokens(demands[i].tokens);
+  }
+}
+
+void EncodeCrashes(const std::vector<crash_report>& crashes,
+                   capnp::List<wire::CrashReport>::Builder out) {
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out[i].setFingerprint(ToText(crashes[i].fingerprint));
+    out[i].setTarget(ToText(crashes[i].target));
+    out[i].setCompleted(crashes[i].completed);
+  }
+}
+
+void EncodeDirectory(const directory_update& directory, wire::Directory::Builder out) {
+  out.setEpoch(directory.epoch);
+  out.setVersion(directory.version);
+  out.setWhole(directory.whole);
+  auto entries = out.initEntries(directory.entries.size());
+  for (unsigned i = 0; i < entries.size(); ++i) {
+    teaseljunction::Encode(directory.entries[i].daemon, entries[i].initDaemon());
+    entries[i].setPresent(directory.entries[i].present);
+  }
+}
+
+directory_update DecodeDirectory(wire::Directory::Reader in) {
+  directory_update directory;
+  directory.epoch = in.getEpoch();
+  directory.version = in.getVersion();
+  directory.whole = in.getWhole();
+  for (const auto entry : in.getEntries()) {
+    directory.entries.push_back({teaseljunction::Decode(entry.getDaemon()), entry.getPresent()});
+  }
+  return directory;
+}
+
+void EncodeGrants(const std::vector<token_grant>& grants,
+                  capnp::List<wire::TokenGrant>::Builder out) {
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out[i].setClientAccount(ToText(grants[i].client_account));
+    out[i].setTokens(grants[i].tokens);
+    out[i].setLifetime(ToWire(grants[i].lifetime));
+    out[i].setRetryAfter(ToWire(grants[i].retry_after));
+  }
+}
+
+}  // namespace
+
+void Encode(const daemon_announcement& value, wire::Daemon::Builder out) {
+  out.setDaemonId(ToText(value.daemon_id));
+  out.setIncarnation(value.incarnation);
+  out.setAddress(ToText(value.address));
+  out.setDataCentre(ToText(value.data_centre));
+  if (value.target) Encode(*value.target, out.initTarget());
+  out.setDraining(value.draining);
+  out.setManifestVersion(value.manifest_version);
+}
+
+daemon_announcement Decode(wire::Daemon::Reader in) {
+  daemon_announcement value;
+  value.daemon_id = FromText(in.getDaemonId());
+  value.incarnation = in.getIncarnation();
+  value.address = FromText(in.getAddress());
+  value.data_centre = FromText(in.getDataCentre());
+  if (in.hasTarget()) value.target = Decode(in.getTarget());
+  value.draining = in.getDraining();
+  value.manifest_version = in.getManifestVersion();
+  return value;
+}
+
+void Encode(const sync_request& value, wire::SyncRequest::Builder out) {
+  Encode(value.daemon, out.initDaemon());
+  out.setManifestVersion(value.manifest_version);
+  out.setManifestDigest(ToText(value.manifest_digest));
+  out.setDirectoryEpoch(value.directory_epoch);
+  out.setDirectoryVersion(value.directory_version);
+  out.setQuarantineSize(value.quarantine_size);
+  EncodeDemands(value.demands, out.initDemands(value.demands.size()));
+  EncodeCrashes(value.crashes, out.initCrashes(value.crashes.size()));
+}
+
+sync_request Decode(wire::SyncRequest::Reader in) {
+  sync_request value;
+  value.daemon = Decode(in.getDaemon());
+  value.manifest_version = in.getManifestVersion();
+  value.manifest_digest = FromText(in.getManifestDigest());
+  value.directory_epoch = in.getDirectoryEpoch();
+  value.directory_version = in.getDirectoryVersion();
+  value.quarantine_size = in.getQuarantineSize();
+  for (const auto demand : in.getDemands()) {
+    value.demands.push_back({FromText(demand.getClientAccount()), demand.getTokens()});
+  }
+  for (const auto crash : in.getCrashes()) {
+    value.crashes.push_back(
+        {FromText(crash.getFingerprint()), FromText(crash.getTarget()), crash.getCompleted()});
+  }
+  return value;
+}
+
+void Encode(const sync_response& value, wire::SyncResponse::Builder out) {
+  out.setFromLeader(value.from_leader);
+  out.setLeaderAddress(ToText(value.leader_address));
+  Encode(value.manifest, out.initManifest());
+  EncodeDirectory(value.directory, out.initDirectory());
+  EncodeGrants(value.grants, out.initGrants(value.grants.size()));
+  auto quarantined = out.initQuarantined(value.quarantined.size());
+  for (unsigned i = 0; i < quarantined.size(); ++i) {
+    quarantined.set(i, ToText(value.quarantined[i]));
+  }
+}
+
+sync_response Decode(wire::SyncResponse::Reader in) {
+  sync_response value;
+  value.from_leader = in.getFromLeader();
+  value.leader_address = FromText(in.getLeaderAddress());
+  value.manifest = Decode(in.getManifest());
+  value.directory = DecodeDirectory(in.getDirectory());
+  for (const auto grant : in.getGrants()) {
+    value.grants.push_back({FromText(grant.getClientAccount()), grant.getTokens(),
+                            DurationFromWire(grant.getLifetime()),
+                            DurationFromWire(grant.getRetryAfter())});
+  }
+  for (const auto fingerprint : in.getQuarantined()) {
+    value.quarantined.push_back(FromText(fingerprint));
+  }
+  return value;
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/rpc/internal/kj_support.cc
@@ -0,0 +1,79 @@
+#include "rpc/internal/kj_support.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+
+#include "absl/strings/str_cat.h"
+#include "common/log.h"
+
+namespace teaseljunction {
+namespace {
+
+/// Below the 3 s after which a silent daemon is removed from the directory.
+constexpr unsigned kUnacknowledgedTimeoutMs = 2500;
+
+}  // namespace
+
+void LogRpcLimited(log_limiter& limiter, absl::string_view line) {
+  const auto left_out = limiter.Allow();
+  if (!left_out) return;
+  LOG(WARNING) << "rpc: " << line << (*left_out > 0 ? absl::StrCat(", ", *left_out, " more") : "");
+}
+
+void kj_log::logMessage(kj::LogSeverity, const char*, int, int, kj::String&& text) {
+  LogRpcLimited(limiter_, absl::string_view(text.begin(), text.size()));
+}
+
+kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> logged_message_stream::tryReadMessage(
+    kj::ArrayPtr<kj::AutoCloseFd> fds, capnp::ReaderOptions options,
+    kj::ArrayPtr<capnp::word> scratch) {
+  return messages_.tryReadMessage(fds, options, scratch)
+      .catch_([this](kj::Exception&& failure) -> kj::Maybe<capnp::MessageReaderAndFds> {
+        if (failure.getType() != kj::Exception::Type::DISCONNECTED) {
+          LogRpcLimited(limiter_, absl::StrCat("closing the connection of ", peer_, ": ",
+                                               failure.getDescription().cStr()));
+        }
+        kj::throwFatalException(kj::mv(failure));
+      });
+}
+
+capnp::ReaderOptions MessageLimits(size_t max_bytes) {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = max_bytes / sizeof(capnp::word);
+  return options;
+}
+
+void SetSocketOptions(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  const unsigned timeout = kUnacknowledgedTimeoutMs;
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+std::string PeerName(kj::AsyncIoStream& stream) {
+  sockaddr_storage storage = {};
+  kj::uint length = sizeof(storage);
+  stream.getpeername(reinterpret_cast<sockaddr*>(&storage), &length);
+  std::array<char, INET6_ADDRSTRLEN> text = {};
+  if (storage.ss_family == AF_INET6) {
+    const auto* v6 = reinterpret_cast<const sockaddr_in6*>(&storage);
+    inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+    return absl::StrCat("[", text.data(), "]:", ntohs(v6->sin6_port));
+  }
+  const auto* v4 = reinterpret_cast<const sockaddr_in*>(&storage);
+  inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+  return absl::StrCat(text.data(), ":", ntohs(v4->sin_port));
+}
+
+kj::Duration ToKj(absl::Duration duration) {
+  const absl::Duration bounded = std::clamp(duration, absl::ZeroDuration(), absl::Hours(24));
+  return absl::ToInt64Nanoseconds(bounded) * kj::NANOSECONDS;
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/rpc/internal/node_impl.cc
@@ -0,0 +1,63 @@
+#include "rpc/internal/node_impl.h"
+
+namespace teaseljunction {
+
+kj::Promise<void> node_impl::execute(ExecuteContext context) {
+  call request = Decode(context.getParams());
+  context.releaseParams();
+  context.allowCancellation();
+  return waiting_.Wait<execute_result>(
+      [&](absl::AnyInvocable<void(execute_result)> done) {
+        return service_.Execute(std::move(request), std::move(done));
+      },
+      [context](const execute_result& result) mutable {
+        Encode(result, context.initResults(SizeHint(result)));
+      });
+}
+
+kj::Promise<void> node_impl::sync(SyncContext context) {
+  sync_request request = Decode(context.getParams());
+  context.releaseParams();
+  context.allowCancellation();
+  return waiting_.Wait<sync_response>(
+      [&](absl::AnyInvocable<void(sync_response)> done) {
+        service_.Sync(std::move(request), std::move(done));
+        return nullptr;
+      },
+      [context](const sync_response& result) mutable {
+        Encode(result, context.initResults(SizeHint(result)));
+      });
+}
+
+kj::Promise<void> node_impl::propose(ProposeContext context) {
+  command proposal = Decode(context.getParams());
+  context.releaseParams();
+  context.allowCancellation();
+  return waiting_.Wait<propose_response>(
+      [&](absl::AnyInvocable<void(propose_response)> done) {
+        service_.Propose(std::move(proposal), std::move(done));
+        return nullptr;
+      },
+      [context](const propose_response& result) mutable {
+        Encode(result, context.initResults(SizeHint(result)));
+      });
+}
+
+kj::Promise<void> node_impl::raft(RaftContext context) {
+  service_.Raft(Decode(context.getParams()));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> node_impl::manifest(ManifestContext context) {
+  const manifest_record record = service_.Manifest();
+  Encode(record, context.initResults(SizeHint(record)));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> node_impl::status(StatusContext context) {
+  const status_report report = service_.Status();
+  Encode(report, context.initResults(SizeHint(report)));
+  return kj::READY_NOW;
+}
+
+}  // namespace teaseljunction
--- a/src/rpc/rpc_peer_client.h
+++ b/src/rpc/rpc_peer_client.h
@@ -25,8 +25,8 @@
 
 class rpc_worker;
 
-/// Cap'n Proto RPC client to other daemons. Each thread runs one KJ event loop and keeps one
-/// connection per address.
+/// Cap'n Proto RPC client to other daemons. Each thread runs one KJ event loop. Every address
+/// belongs to one thread, which keeps one connection to it; so messages to a peer stay in order.
 class rpc_peer_client : public peer_client {
  public:
   /// Ends running calls with kPeerLost, or kPeerUnreachable when they were not sent.
@@ -49,6 +49,10 @@
   friend class rpc_peer_client_builder;
   explicit rpc_peer_client(const rpc_peer_client_settings& settings);
 
+  template <class Method>
+  uint64_t Start(absl::string_view address, absl::Duration timeout, typename Method::params request,
+                 absl::AnyInvocable<void(outcome<typename Method::results>)> done);
+
   std::vector<std::unique_ptr<rpc_worker>> workers_;
   std::atomic<uint64_t> next_id_ = 0;
 };
--- /dev/null
+++ b/src/rpc/tests/convert_test.cc
@@ -0,0 +1,129 @@
+#include "rpc/internal/convert.h"
+
+#include <capnp/message.h>
+
+#include <catch2/catch.hpp>
+
+namespace teaseljunction {
+namespace {
+
+/// Encodes and decodes a value, and returns the decoded one encoded again as text.
+template <class Wire, class T>
+std::string Text(const T& value) {
+  capnp::MallocMessageBuilder message;
+  Encode(value, message.initRoot<Wire>());
+  const kj::String text = kj::str(message.getRoot<Wire>().asReader());
+  return std::string(text.cStr(), text.size());
+}
+
+template <class Wire, class T>
+T RoundTrip(const T& value) {
+  capnp::MallocMessageBuilder message;
+  Encode(value, message.initRoot<Wire>());
+  return Decode(message.getRoot<Wire>().asReader());
+}
+
+/// Checks that decoding loses nothing that the schema holds.
+template <class Wire, class T>
+void CheckLossless(const T& value) {
+  CHECK(Text<Wire>(RoundTrip<Wire>(value)) == Text<Wire>(value));
+  CHECK(Text<Wire>(value) != Text<Wire>(T()));
+}
+
+const call_answer kAnswer = {201, {{"A", "1"}, {"B", ""}}, std::string("x\0y", 3)};
+
+daemon_announcement Daemon() {
+  return {"d1", 2, "127.0.0.1:1", "dc1", target_announcement{"orders", 3, 4, true, 0.5, "a:2"},
+          true, 9};
+}
+
+}  // namespace
+
+// Guards against a field that is left out or swapped in one of the conversions.
+TEST_CASE("conversions keep every field") {
+  call request{"r1",
+               "orders",
+               "POST",
+               "/o?x",
+               {{"H", "v"}},
+               "body",
+               "acme",
+               request_priority::kHigh,
+               7,
+               2,
+               31,
+               absl::Milliseconds(250),
+               false,
+               "acme/k",
+               "f1"};
+  CheckLossless<wire::Call>(request);
+  const call decoded = RoundTrip<wire::Call>(request);
+  CHECK(decoded.identity == "acme/k");
+  CHECK(decoded.fingerprint == "f1");
+  CHECK(decoded.client_account == "acme");
+  CHECK(decoded.time_left == absl::Milliseconds(250));
+  CHECK(decoded.priority == request_priority::kHigh);
+  CHECK_FALSE(decoded.idempotent);
+
+  execute_result result{kAnswer, {request_priority::kNormal, 9}, 5, absl::Milliseconds(3)};
+  CheckLossless<wire::ExecuteResult>(result);
+  const execute_result received = RoundTrip<wire::ExecuteResult>(result);
+  REQUIRE(received.answer.index() == 0);
+  CHECK(std::get<0>(received.answer).body == kAnswer.body);
+  CHECK(received.level == result.level);
+  CHECK(received.unused_attempts == 5);
+
+  sync_request sync{Daemon(), 1, "m", 2, 3, 4, {{"acme", 5}}, {{"f", "d2", true}}};
+  CheckLossless<wire::SyncRequest>(sync);
+  sync_response synced;
+  synced.from_leader = true;
+  synced.leader_address = "l";
+  synced.manifest = {4, "d", "{}"};
+  synced.directory = {5, 6, true, {{Daemon(), false}}};
+  synced.grants = {{"acme", 7, absl::Seconds(1), absl::Milliseconds(5)}};
+  synced.quarantined = {"f1", "f2"};
+  CheckLossless<wire::SyncResponse>(synced);
+  CHECK(RoundTrip<wire::SyncResponse>(synced).grants[0].lifetime == absl::Seconds(1));
+
+  propose_response proposed{
+      true, "l", {true, {error_kind::kNoTarget, "x"}, true, claim_state::kCompleted, kAnswer}};
+  CheckLossless<wire::ProposeResponse>(proposed);
+  status_report status{Daemon(), 1,
+                       "m",      true,
+                       2,        3,
+                       4,        {Daemon(), Daemon()},
+                       true,     member_role::kLeader,
+                       5,        6,
+                       "l",      {{7, "a", "dc", true}}};
+  CheckLossless<wire::Status>(status);
+}
+
+// Guards against a command that arrives as another one.
+TEST_CASE("conversions keep the kind of a command") {
+  const std::vector<command> commands = {
+      std::monostate(),          submit_manifest{1, "d", "{}"},
+      claim{"a", "i", "f", "t"}, complete{"a", "i", "t", kAnswer},
+      release{"a", "i", "t"},    quarantine_request{"f"},
+      add_learner{1, "a", "dc"}, promote{2},
+      remove_member{3},
+  };
+  for (const command& value : commands) {
+    CHECK(RoundTrip<wire::Command>(value).index() == value.index());
+    CHECK(Text<wire::Command>(RoundTrip<wire::Command>(value)) == Text<wire::Command>(value));
+  }
+}
+
+// Guards against numbers of a later version that would be read as another enum value, and against
+// an error of such a version that is reported as "not run".
+TEST_CASE("unknown enum numbers become the cautious value") {
+  capnp::MallocMessageBuilder message;
+  auto result = message.initRoot<wire::ExecuteResult>();
+  result.initFailure().setKind(250);
+  result.setLevelPriority(9);
+  const execute_result decoded = Decode(result.asReader());
+  CHECK(std::get<1>(decoded.answer).kind == error_kind::kInternal);
+  CHECK(AnswerFor(error_kind::kInternal).run == run_state::kMayHaveRun);
+  CHECK(decoded.level.priority == request_priority::kLow);
+}
+
+}  // namespace teaseljunction
--- /dev/null
+++ b/src/rpc/tests/rpc_test.cc
@@ -0,0 +1,366 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+#include "common/sockets.h"
+#include "rpc/rpc_peer_client.h"
+#include "rpc/rpc_server.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr absl::Duration kLong = absl::Seconds(10);
+
+using execute_completion = absl::AnyInvocable<void(execute_result)>;
+
+class counted_execution : public execution {
+ public:
+  explicit counted_execution(std::atomic<int>& cancelled) : cancelled_(cancelled) {}
+  void Cancel() override { ++cancelled_; }
+
+ private:
+  std::atomic<int>& cancelled_;
+};
+
+/// Echoes the body of a call from another thread, or keeps the call with the path "/keep".
+class fake_service : public node_service {
+ public:
+  std::shared_ptr<execution> Execute(call request, execute_completion completion) override {
+    if (request.path == "/keep") {
+      absl::MutexLock lock(&mutex);
+      kept.push_back(std::move(completion));
+    } else {
+      std::thread([body = std::move(request.body), done = std::move(completion)]() mutable {
+        execute_result result;
+        result.answer = call_answer{200, {}, std::move(body)};
+        done(std::move(result));
+      }).detach();
+    }
+    return std::make_shared<counted_execution>(cancelled);
+  }
+  void Sync(sync_request request, absl::AnyInvocable<void(sync_response)> completion) override {
+    sync_response response;
+    response.leader_address = request.daemon.daemon_id;
+    completion(std::move(response));
+  }
+  void Propose(command proposal, absl::AnyInvocable<void(propose_response)> completion) override {
+    propose_response response;
+    response.result.applied = std::holds_alternative<claim>(proposal);
+    completion(std::move(response));
+  }
+  void Raft(std::string message) override {
+    absl::MutexLock lock(&mutex);
+    messages.push_back(std::move(message));
+  }
+  manifest_record Manifest() override { return {3, "d", "{}"}; }
+  status_report Status() override {
+    status_report report;
+    report.term = 8;
+    return report;
+  }
+
+  void WaitForKept(size_t count) {
+    absl::MutexLock lock(&mutex);
+    const auto reached = [this, count] { return kept.size() >= count; };
+    mutex.Await(absl::Condition(&reached));
+  }
+
+  absl::Mutex mutex;
+  std::vector<execute_completion> kept;
+  std::vector<std::string> messages;
+  std::atomic<int> cancelled = 0;
+};
+
+struct running_server {
+  explicit running_server(const std::string& listen = "127.0.0.1:0") {
+    server = rpc_server_builder()
+                 .Address(listen)
+                 .Threads(2)
+                 .MaxMessageBytes(4 << 20)
+                 .Service(&service)
+                 .Build();
+    const auto started = Capture<uint16_t>([&] { return server->Start(); });
+    REQUIRE(started.index() == 0);
+    address = absl::StrCat("127.0.0.1:", std::get<0>(started));
+  }
+
+  fake_service service;
+  std::unique_ptr<rpc_server> server;
+  std::string address;
+};
+
+std::future<execute_result> ExecuteAsync(peer_client& client, const std::string& address,
+                                         const std::string& path, absl::Duration timeout = kLong,
+                                         uint64_t* id = nullptr, std::string body = "body") {
+  auto promise = std::make_shared<std::promise<execute_result>>();
+  call request;
+  request.path = path;
+  request.body = std::move(body);
+  request.time_left = timeout;
+  const uint64_t started =
+      client.Execute(address, std::move(request), timeout,
+                     [promise](execute_result done) { promise->set_value(std::move(done)); });
+  if (id != nullptr) *id = started;
+  return promise->get_future();
+}
+
+error_kind KindOf(const execute_result& result) {
+  REQUIRE(result.answer.index() == 1);
+  return std::get<1>(result.answer).kind;
+}
+
+std::string BodyOf(const execute_result& result) {
+  REQUIRE(result.answer.index() == 0);
+  return std::get<0>(result.answer).body;
+}
+
+/// Runs a call to its end.
+execute_result Execute(peer_client& client, const std::string& address, const std::string& path,
+                       absl::Duration timeout = kLong, std::string body = "body") {
+  return ExecuteAsync(client, address, path, timeout, nullptr, std::move(body)).get();
+}
+
+std::unique_ptr<rpc_peer_client> Client() {
+  return rpc_peer_client_builder().ConnectTimeout(absl::Milliseconds(500)).Build();
+}
+
+/// Listens, and passes each accepted connection to `script`.
+class raw_peer {
+ public:
+  explicit raw_peer(std::function<void(int)> script) {
+    const auto opened = Capture<int>([]() -> result<int> {
+      BOOST_LEAF_AUTO(any, ParseSocketAddress("127.0.0.1:0"));
+      return OpenListenSocket(any, false);
+    });
+    fd_ = std::get<0>(opened);
+    thread_ = std::thread([this, script = std::move(script)] {
+      while (!stopping_) {
+        const int accepted = accept(fd_, nullptr, nullptr);
+        if (accepted < 0) {
+          absl::SleepFor(absl::Milliseconds(1));
+          continue;
+        }
+        script(accepted);
+        close(accepted);
+      }
+    });
+  }
+  ~raw_peer() {
+    stopping_ = true;
+    thread_.join();
+    close(fd_);
+  }
+  std::string address() const { return absl::StrCat("127.0.0.1:", BoundPort(fd_)); }
+
+ private:
+  int fd_ = -1;
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+};
+
+void SendRaw(const std::string& address, const std::string& data) {
+  const auto target = Capture<socket_address>([&] { return ParseSocketAddress(address); });
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(connect(fd, std::get<0>(target).get(), std::get<0>(target).length) == 0);
+  send(fd, data.data(), data.size(), MSG_NOSIGNAL);
+  std::array<char, 256> answer;
+  // Ends when the server closes the connection.
+  while (recv(fd, answer.data(), answer.size(), 0) > 0) {
+  }
+  close(fd);
+}
+
+}  // namespace
+
+// Guards against a response that reaches another call, and against lost or cut bodies.
+TEST_CASE("every method returns its own response") {
+  running_server running;
+  const auto client = Client();
+  std::vector<std::future<execute_result>> calls;
+  for (int i = 0; i < 200; ++i) {
+    calls.push_back(ExecuteAsync(*client, running.address, "/", kLong, nullptr, std::to_string(i)));
+  }
+  for (int i = 0; i < 200; ++i) CHECK(BodyOf(calls[i].get()) == std::to_string(i));
+  const std::string big(1 << 20, 'x');
+  CHECK(BodyOf(Execute(*client, running.address, "/", kLong, big)) == big);
+
+  std::promise<outcome<sync_response>> synced;
+  sync_request request;
+  request.daemon.daemon_id = "d7";
+  client->Sync(running.address, request, kLong, [&](auto done) { synced.set_value(done); });
+  CHECK(std::get<0>(synced.get_future().get()).leader_address == "d7");
+  std::promise<outcome<propose_response>> proposed;
+  client->Propose(running.address, claim{}, kLong, [&](auto done) { proposed.set_value(done); });
+  CHECK(std::get<0>(proposed.get_future().get()).result.applied);
+  std::promise<outcome<status_report>> status;
+  client->Status(running.address, kLong, [&](auto done) { status.set_value(done); });
+  CHECK(std::get<0>(status.get_future().get()).term == 8);
+  std::promise<outcome<manifest_record>> manifest;
+  client->Manifest(running.address, kLong, [&](auto done) { manifest.set_value(done); });
+  CHECK(std::get<0>(manifest.get_future().get()).version == 3);
+}
+
+// Guards against messages between control members that overtake each other.
+TEST_CASE("raft messages arrive in order") {
+  running_server running;
+  const auto client = Client();
+  for (int i = 0; i < 100; ++i) client->Raft(running.address, std::to_string(i));
+  absl::MutexLock lock(&running.service.mutex);
+  const auto complete = [&] { return running.service.messages.size() == 100; };
+  running.service.mutex.Await(absl::Condition(&complete));
+  for (int i = 0; i < 100; ++i) CHECK(running.service.messages[i] == std::to_string(i));
+}
+
+// Guards against "not run" for a call that was sent, and against a caller that waits forever.
+TEST_CASE("faults of the peer give their error kind") {
+  struct fault_case {
+    std::string name;
+    std::function<void(int)> script;
+    error_kind expected;
+  };
+  const auto read_some = [](int fd) {
+    std::array<char, 64> data;
+    return recv(fd, data.data(), data.size(), 0);
+  };
+  const std::vector<fault_case> cases = {
+      {"closes after reading", [&](int fd) { read_some(fd); }, error_kind::kPeerLost},
+      {"closes at once", [](int) {}, error_kind::kPeerLost},
+      {"sends garbage",
+       [&](int fd) {
+         send(fd, std::string(64, 'x').data(), 64, MSG_NOSIGNAL);
+         while (read_some(fd) > 0) {
+         }
+       },
+       error_kind::kPeerLost},
+      {"cuts a message",
+       [&](int fd) {
+         read_some(fd);
+         send(fd, "\0\0\0\0\x10\0\0\0abc", 11, MSG_NOSIGNAL);
+       },
+       error_kind::kPeerLost},
+      {"announces a message over the limit",
+       [&](int fd) {
+         send(fd, "\0\0\0\0\0\0\0\x70", 8, MSG_NOSIGNAL);
+         while (read_some(fd) > 0) {
+         }
+       },
+       error_kind::kPeerLost},
+      {"never answers",
+       [&](int fd) {
+         while (read_some(fd) > 0) {
+         }
+       },
+       error_kind::kDeadlineExceeded},
+  };
+  for (const fault_case& fault : cases) {
+    INFO(fault.name);
+    raw_peer server(fault.script);
+    const auto client = Client();
+    CHECK(KindOf(Execute(*client, server.address(), "/", absl::Milliseconds(300))) ==
+          fault.expected);
+  }
+}
+
+// Guards against "may have run" when nothing listens, against a client that does not connect again,
+// and against calls that are lost when the peer is killed.
+TEST_CASE("unreachable, killed and restarted peer") {
+  const auto client = Client();
+  std::string address;
+  {
+    running_server running;
+    address = running.address;
+    auto lost = ExecuteAsync(*client, address, "/keep");
+    running.service.WaitForKept(1);
+    running.server->Stop();
+    CHECK(KindOf(lost.get()) == error_kind::kPeerLost);
+    CHECK(running.service.cancelled == 1);
+    // A completion that comes after the stop is dropped.
+    running.service.kept[0]({});
+  }
+  CHECK(KindOf(Execute(*client, address, "/")) == error_kind::kPeerUnreachable);
+  CHECK(KindOf(Execute(*client, "nowhere", "/")) == error_kind::kPeerUnreachable);
+  running_server again(address);
+  for (int i = 0; i < 1000; ++i) {
+    const execute_result result = Execute(*client, address, "/");
+    if (result.answer.index() == 0) return;
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  FAIL("no connection to the restarted peer");
+}
+
+// Guards against work that goes on for a caller that has gone.
+TEST_CASE("cancelled, late and abandoned calls are cancelled at the server") {
+  running_server running;
+  auto client = Client();
+  uint64_t id = 0;
+  auto cancelled = ExecuteAsync(*client, running.address, "/keep", kLong, &id);
+  running.service.WaitForKept(1);
+  client->CancelExecute(id);
+  CHECK(KindOf(cancelled.get()) == error_kind::kCancelled);
+  CHECK(KindOf(Execute(*client, running.address, "/keep", absl::Milliseconds(50))) ==
+        error_kind::kDeadlineExceeded);
+  auto abandoned = ExecuteAsync(*client, running.address, "/keep");
+  running.service.WaitForKept(3);
+  client.reset();
+  CHECK(KindOf(abandoned.get()) == error_kind::kPeerLost);
+  for (int i = 0; i < 5000 && running.service.cancelled < 3; ++i) {
+    absl::SleepFor(absl::Milliseconds(2));
+  }
+  CHECK(running.service.cancelled == 3);
+  for (auto& completion : running.service.kept) completion({});
+}
+
+// Guards against a daemon that ends, or serves nobody any more, after bytes that are no message.
+TEST_CASE("garbage closes only its own connection") {
+  running_server running;
+  const auto client = Client();
+  CHECK(BodyOf(Execute(*client, running.address, "/")) == "body");
+  for (const std::string& garbage :
+       {std::string(4096, '\xff'), std::string("GET / HTTP/1.1\r\n\r\n"),
+        std::string("\0\0\0\0\0\0\0\x70", 8),
+        std::string("\0\0\0\0\1\0\0\0\xff\xff\xff\xff\xff\xff\xff\xff", 16)}) {
+    SendRaw(running.address, garbage);
+  }
+  CHECK(BodyOf(Execute(*client, running.address, "/")) == "body");
+}
+
+// Guards against a planned stop that cuts a running call.
+TEST_CASE("drain waits for running calls") {
+  running_server running;
+  const auto client = Client();
+  auto call = ExecuteAsync(*client, running.address, "/keep");
+  running.service.WaitForKept(1);
+  bool drained = false;
+  std::thread drain([&] { drained = running.server->Drain(kLong); });
+  absl::SleepFor(absl::Milliseconds(150));
+  execute_result result;
+  result.answer = call_answer{200, {}, "whole"};
+  running.service.kept[0](std::move(result));
+  CHECK(BodyOf(call.get()) == "whole");
+  drain.join();
+  CHECK(drained);
+  CHECK(running.service.cancelled == 0);
+}
+
+// Guards against two daemons that share a port without notice.
+TEST_CASE("a port in use is refused") {
+  running_server running;
+  fake_service service;
+  const auto second = rpc_server_builder().Address(running.address).Service(&service).Build();
+  const auto started = Capture<uint16_t>([&] { return second->Start(); });
+  REQUIRE(started.index() == 1);
+  CHECK(std::get<1>(started).kind == error_kind::kSettingInvalid);
+}
+
+}  // namespace teaseljunction
