Keep a dropped exchange callback out of the request's lock

Cause: a second OnDisconnect callback destroyed the first one under the lock of its request, which deadlocks when that callback holds the exchange. A finished exchange also built an error document that nobody reads. Change: the former callback is destroyed after the lock; the error document is built only when the request still awaits its response. A test for closing idle RPC connections is added.

--- a/src/http/http_handler.h
+++ b/src/http/http_handler.h
@@ -15,7 +15,9 @@
   /// Sends the response. The first call counts; later ones are ignored.
   virtual void Respond(http_response response) = 0;
 
-  /// Sets a callback that runs at most once, when the client disconnects before the response.
+  /// Sets a callback that runs at most once, when the client disconnects before the response. A
+  /// client that closes only its sending side counts as disconnected. The connection is then closed
+  /// and later responses are ignored. The callback is dropped once there is a response.
   virtual void OnDisconnect(absl::AnyInvocable<void()> callback) = 0;
 };
 
--- a/src/http/internal/server_request.cc
+++ b/src/http/internal/server_request.cc
@@ -19,6 +19,7 @@
       : request_(std::move(request)) {}
 
   ~request_exchange() override {
+    if (!request_->AwaitsResponse()) return;
     request_->Respond(ProblemResponse({error_kind::kInternal, "no response was produced"}, ""));
   }
 
@@ -84,12 +85,18 @@
   if (phase_ == phase::kSuspended) Resume();
 }
 
+bool server_request::AwaitsResponse() {
+  absl::MutexLock lock(&mutex_);
+  return !responded_ && !gone_ && phase_ != phase::kEnded;
+}
+
 void server_request::OnDisconnect(absl::AnyInvocable<void()> callback) {
   {
     absl::MutexLock lock(&mutex_);
     if (responded_) return;
     if (!gone_ && phase_ != phase::kEnded) {
-      on_disconnect_ = std::move(callback);
+      // A former callback is destroyed after the lock is released.
+      std::swap(on_disconnect_, callback);
       if (phase_ == phase::kSuspended) Watch();
       return;
     }
--- a/src/http/internal/server_request.h
+++ b/src/http/internal/server_request.h
@@ -40,6 +40,9 @@
   /// Sets the response; only the first one counts. Resumes a suspended connection.
   void Respond(http_response response);
 
+  /// False once there is a response or the client has gone.
+  bool AwaitsResponse();
+
   /// Sets the callback for a client that disconnects before the response.
   void OnDisconnect(absl::AnyInvocable<void()> callback);
 
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -353,6 +354,21 @@
   CHECK(running.service.cancelled == 0);
 }
 
+// Guards against connections to former addresses that stay open for ever.
+TEST_CASE("an idle connection is closed") {
+  absl::Notification closed;
+  raw_peer server([&](int fd) {
+    std::array<char, 64> data;
+    while (recv(fd, data.data(), data.size(), 0) > 0) {
+    }
+    closed.Notify();
+  });
+  const auto client = rpc_peer_client_builder().IdleTimeout(absl::Milliseconds(100)).Build();
+  CHECK(KindOf(Execute(*client, server.address(), "/", absl::Milliseconds(50))) ==
+        error_kind::kDeadlineExceeded);
+  CHECK(closed.WaitForNotificationWithTimeout(kLong));
+}
+
 // Guards against two daemons that share a port without notice.
 TEST_CASE("a port in use is refused") {
   running_server running;
