--- a/src/common/internal/sockets.cc
+++ b/src/common/internal/sockets.cc
@@ -52,7 +52,8 @@
   sockaddr_in v4 = {};
   v4.sin_family = AF_INET;
   v4.sin_port = htons(static_cast<uint16_t>(port));
-  if (inet_pton(AF_INET, std::string(host).c_str(), &v4.sin_addr) == 1) return Wrap(v4);
+  if (inet_pton(AF_INET, std::string(host.data(), host.size()).c_str(), &v4.sin_addr) == 1)
+    return Wrap(v4);
   return Fail(error_kind::kSettingInvalid, absl::StrCat("no \"IP:port\": ", address));
 }
 
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -160,7 +160,8 @@
   if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) length_known_ = true;
   const bool keep = request_.method == "HEAD" && absl::EqualsIgnoreCase(name, "Content-Length");
   if (keep || !IsTransferHeader(name)) {
-    response_.headers.push_back({std::string(name), std::string(value)});
+    response_.headers.push_back(
+        {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
   }
   return true;
 }
--- a/src/http/internal/http_server_builder.cc
+++ b/src/http/internal/http_server_builder.cc
@@ -4,7 +4,7 @@
 namespace teaseljunction {
 
 http_server_builder& http_server_builder::Address(absl::string_view address) {
-  settings_.address = std::string(address);
+  settings_.address.assign(address.data(), address.size());
   return *this;
 }
 
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -165,8 +165,8 @@
     }
     Echo(request, *exchange);
   });
-  constexpr int kClients = 20;
-  for (int i = 0; i < kClients; ++i) {
+  const int clients = 20;
+  for (int i = 0; i < clients; ++i) {
     raw_socket client = raw_socket::Connect(running.port);
     client.Write(Request("GET /wait"));
     mutex.LockWhen(absl::Condition(
@@ -183,7 +183,7 @@
     }
     CHECK(absl::EndsWith(next.ReadUntil("GET /next "), "GET /next "));
   }
-  CHECK(gone <= kClients);
+  CHECK(gone <= clients);
   raw_socket client = raw_socket::Connect(running.port);
   gone = 0;
   client.Write(Request("GET /wait"));
--- a/src/rpc/internal/client_loop.cc
+++ b/src/rpc/internal/client_loop.cc
@@ -112,7 +112,7 @@
   const auto failed = Take(id);
   if (failed == nullptr) return;
   const error_kind kind = failed->call->sent ? error_kind::kPeerLost : error_kind::kPeerUnreachable;
-  failed->call->Fail({kind, std::string(detail)});
+  failed->call->Fail({kind, std::string(detail.data(), detail.size())});
 }
 
 void client_loop::Expire(uint64_t id) {
--- a/src/rpc/internal/pending_call.h
+++ b/src/rpc/internal/pending_call.h
@@ -108,7 +108,7 @@
 
   typed_call(uint64_t id, absl::string_view address, absl::Duration timeout, params request,
              completion done)
-      : pending_call(id, std::string(address), timeout),
+      : pending_call(id, std::string(address.data(), address.size()), timeout),
         params_(std::move(request)),
         done_(std::move(done)) {}
 
--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -101,7 +101,7 @@
 void rpc_server::Stop() { impl_->Stop(); }
 
 rpc_server_builder& rpc_server_builder::Address(absl::string_view address) {
-  settings_.address = std::string(address);
+  settings_.address.assign(address.data(), address.size());
   return *this;
 }
 
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -115,18 +116,22 @@
   return promise->get_future();
 }
 
-error_kind KindOf(std::future<execute_result> future) {
-  const execute_result result = future.get();
+error_kind KindOf(const execute_result& result) {
   REQUIRE(result.answer.index() == 1);
   return std::get<1>(result.answer).kind;
 }
 
-std::string BodyOf(std::future<execute_result> future) {
-  const execute_result result = future.get();
+std::string BodyOf(const execute_result& result) {
   REQUIRE(result.answer.index() == 0);
   return std::get<0>(result.answer).body;
 }
 
+/// Runs a call to its end.
+execute_result Execute(peer_client& client, const std::string& address, const std::string& path,
+                       absl::Duration timeout = kLong, std::string body = "body") {
+  return ExecuteAsync(client, address, path, timeout, nullptr, std::move(body)).get();
+}
+
 std::unique_ptr<rpc_peer_client> Client() {
   return rpc_peer_client_builder().ConnectTimeout(absl::Milliseconds(500)).Build();
 }
@@ -168,7 +173,7 @@
 void SendRaw(const std::string& address, const std::string& data) {
   const auto target = Capture<socket_address>([&] { return ParseSocketAddress(address); });
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  connect(fd, std::get<0>(target).get(), std::get<0>(target).length);
+  REQUIRE(connect(fd, std::get<0>(target).get(), std::get<0>(target).length) == 0);
   send(fd, data.data(), data.size(), MSG_NOSIGNAL);
   std::array<char, 256> answer;
   // Ends when the server closes the connection.
@@ -187,9 +192,9 @@
   for (int i = 0; i < 200; ++i) {
     calls.push_back(ExecuteAsync(*client, running.address, "/", kLong, nullptr, std::to_string(i)));
   }
-  for (int i = 0; i < 200; ++i) CHECK(BodyOf(std::move(calls[i])) == std::to_string(i));
+  for (int i = 0; i < 200; ++i) CHECK(BodyOf(calls[i].get()) == std::to_string(i));
   const std::string big(1 << 20, 'x');
-  CHECK(BodyOf(ExecuteAsync(*client, running.address, "/", kLong, nullptr, big)) == big);
+  CHECK(BodyOf(Execute(*client, running.address, "/", kLong, big)) == big);
 
   std::promise<outcome<sync_response>> synced;
   sync_request request;
@@ -263,7 +268,7 @@
     INFO(fault.name);
     raw_peer server(fault.script);
     const auto client = Client();
-    CHECK(KindOf(ExecuteAsync(*client, server.address(), "/", absl::Milliseconds(300))) ==
+    CHECK(KindOf(Execute(*client, server.address(), "/", absl::Milliseconds(300))) ==
           fault.expected);
   }
 }
@@ -279,16 +284,16 @@
     auto lost = ExecuteAsync(*client, address, "/keep");
     running.service.WaitForKept(1);
     running.server->Stop();
-    CHECK(KindOf(std::move(lost)) == error_kind::kPeerLost);
+    CHECK(KindOf(lost.get()) == error_kind::kPeerLost);
     CHECK(running.service.cancelled == 1);
     // A completion that comes after the stop is dropped.
     running.service.kept[0]({});
   }
-  CHECK(KindOf(ExecuteAsync(*client, address, "/")) == error_kind::kPeerUnreachable);
-  CHECK(KindOf(ExecuteAsync(*client, "nowhere", "/")) == error_kind::kPeerUnreachable);
+  CHECK(KindOf(Execute(*client, address, "/")) == error_kind::kPeerUnreachable);
+  CHECK(KindOf(Execute(*client, "nowhere", "/")) == error_kind::kPeerUnreachable);
   running_server again(address);
   for (int i = 0; i < 1000; ++i) {
-    const execute_result result = ExecuteAsync(*client, address, "/").get();
+    const execute_result result = Execute(*client, address, "/");
     if (result.answer.index() == 0) return;
     absl::SleepFor(absl::Milliseconds(5));
   }
@@ -303,13 +308,13 @@
   auto cancelled = ExecuteAsync(*client, running.address, "/keep", kLong, &id);
   running.service.WaitForKept(1);
   client->CancelExecute(id);
-  CHECK(KindOf(std::move(cancelled)) == error_kind::kCancelled);
-  CHECK(KindOf(ExecuteAsync(*client, running.address, "/keep", absl::Milliseconds(50))) ==
+  CHECK(KindOf(cancelled.get()) == error_kind::kCancelled);
+  CHECK(KindOf(Execute(*client, running.address, "/keep", absl::Milliseconds(50))) ==
         error_kind::kDeadlineExceeded);
   auto abandoned = ExecuteAsync(*client, running.address, "/keep");
   running.service.WaitForKept(3);
   client.reset();
-  CHECK(KindOf(std::move(abandoned)) == error_kind::kPeerLost);
+  CHECK(KindOf(abandoned.get()) == error_kind::kPeerLost);
   for (int i = 0; i < 5000 && running.service.cancelled < 3; ++i) {
     absl::SleepFor(absl::Milliseconds(2));
   }
@@ -321,14 +326,14 @@
 TEST_CASE("garbage closes only its own connection") {
   running_server running;
   const auto client = Client();
-  CHECK(BodyOf(ExecuteAsync(*client, running.address, "/")) == "body");
+  CHECK(BodyOf(Execute(*client, running.address, "/")) == "body");
   for (const std::string& garbage :
        {std::string(4096, '\xff'), std::string("GET / HTTP/1.1\r\n\r\n"),
         std::string("\0\0\0\0\0\0\0\x70", 8),
         std::string("\0\0\0\0\1\0\0\0\xff\xff\xff\xff\xff\xff\xff\xff", 16)}) {
     SendRaw(running.address, garbage);
   }
-  CHECK(BodyOf(ExecuteAsync(*client, running.address, "/")) == "body");
+  CHECK(BodyOf(Execute(*client, running.address, "/")) == "body");
 }
 
 // Guards against a planned stop that cuts a running call.
@@ -343,12 +348,27 @@
   execute_result result;
   result.answer = call_answer{200, {}, "whole"};
   running.service.kept[0](std::move(result));
-  CHECK(BodyOf(std::move(call)) == "whole");
+  CHECK(BodyOf(call.get()) == "whole");
   drain.join();
   CHECK(drained);
   CHECK(running.service.cancelled == 0);
 }
 
+// Guards against connections to former addresses that stay open for ever.
+TEST_CASE("an idle connection is closed") {
+  absl::Notification closed;
+  raw_peer server([&](int fd) {
+    std::array<char, 64> data;
+    while (recv(fd, data.data(), data.size(), 0) > 0) {
+    }
+    closed.Notify();
+  });
+  const auto client = rpc_peer_client_builder().IdleTimeout(absl::Milliseconds(100)).Build();
+  CHECK(KindOf(Execute(*client, server.address(), "/", absl::Milliseconds(50))) ==
+        error_kind::kDeadlineExceeded);
+  CHECK(closed.WaitForNotificationWithTimeout(kLong));
+}
+
 // Guards against two daemons that share a port without notice.
 TEST_CASE("a port in use is refused") {
   running_server running;
