--- /dev/null
+++ b/src/control/tests/control_member_test.cc
@@ -0,0 +1,170 @@
+#include "control/control_member.h"
+
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <future>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr int kMembers = 3;
+// Bounds the waiting; it is not part of what is tested.
+constexpr int kMaxPolls = 3000;
+constexpr absl::Duration kPoll = absl::Milliseconds(10);
+
+/// Passes messages between members of one process.
+class local_transport : public raft_transport {
+ public:
+  void Send(absl::string_view address, std::string message) override {
+    const absl::MutexLock lock(&mutex_);
+    const auto found = members_.find(std::string(address));
+    if (found != members_.end()) found->second->Receive(std::move(message));
+  }
+  void Set(const std::string& address, control_member* member) {
+    const absl::MutexLock lock(&mutex_);
+    if (member == nullptr) members_.erase(address);
+    if (member != nullptr) members_[address] = member;
+  }
+
+ private:
+  absl::Mutex mutex_;
+  std::map<std::string, control_member*> members_;
+};
+
+/// Counts what an observer is told.
+class counting_observer : public control_observer {
+ public:
+  void OnLeadership(bool leader, absl::Time) override { elections += leader ? 1 : 0; }
+  void OnManifest(std::shared_ptr<const manifest_record> manifest) override {
+    version = manifest->version;
+  }
+  std::atomic<int> elections = 0;
+  std::atomic<uint64_t> version = 0;
+};
+
+class local_group {
+ public:
+  local_group()
+      : folder_(std::filesystem::temp_directory_path() /
+                absl::StrCat("control-member-test-", getpid())) {
+    std::filesystem::remove_all(folder_);
+    std::filesystem::create_directories(folder_);
+  }
+  ~local_group() {
+    for (int i = 0; i < kMembers; ++i) Stop(i);
+    std::filesystem::remove_all(folder_);
+  }
+
+  void Start(int number) {
+    control_member_settings settings;
+    settings.address = Address(number);
+    settings.data_folder = folder_ / absl::StrCat("member", number);
+    for (int i = 0; i < kMembers; ++i) settings.initial_peers.push_back(Address(i));
+    control_member_builder builder;
+    builder.WithSettings(settings).WithClock(clock_).WithRandom(random_).WithTransport(transport_);
+    builder.WithObserver(observer);
+    auto built = Capture<std::unique_ptr<control_member>>([&] { return builder.Build(); });
+    REQUIRE(built.index() == 0);
+    members_[number] = std::move(std::get<0>(built));
+    transport_.Set(Address(number), members_[number].get());
+  }
+
+  void Stop(int number) {
+    transport_.Set(Address(number), nullptr);
+    members_[number].reset();
+  }
+
+  // Proposes until the command is applied by some member.
+  bool Apply(const command& value) {
+    for (int poll = 0; poll < kMaxPolls; ++poll) {
+      for (auto& [number, member] : members_) {
+        if (!member || !member->LeaseHeld(clock_.Now())) continue;
+        auto answer = std::make_shared<std::promise<propose_response>>();
+        member->Propose(value, [answer](propose_response response) {
+          answer->set_value(std::move(response));
+        });
+        if (answer->get_future().get().result.applied) return true;
+      }
+      absl::SleepFor(kPoll);
+    }
+    return false;
+  }
+
+  bool AllHaveVersion(uint64_t version) {
+    for (int poll = 0; poll < kMaxPolls; ++poll) {
+      bool all = true;
+      for (auto& [number, member] : members_) {
+        all = all && (!member || member->Manifest()->version == version);
+      }
+      if (all) return true;
+      absl::SleepFor(kPoll);
+    }
+    return false;
+  }
+
+  control_member& Member(int number) { return *members_[number]; }
+  counting_observer observer;
+
+  static std::string Address(int number) { return absl::StrCat("127.0.0.1:", 1000 + number); }
+
+ private:
+  std::filesystem::path folder_;
+  system_clock_source clock_;
+  system_random_source random_;
+  local_transport transport_;
+  std::map<int, std::unique_ptr<control_member>> members_;
+};
+
+}  // namespace
+
+// Guards against faults between thread, journal and replica that the tests on virtual time cannot
+// show, such as a lost wake-up or a completion that never runs.
+TEST_CASE("three members accept commands, and keep them when restarted") {
+  local_group group;
+  for (int i = 0; i < kMembers; ++i) group.Start(i);
+  REQUIRE(group.Apply(submit_manifest{5, "d", "content"}));
+  REQUIRE(group.Apply(quarantine_request{"print"}));
+  CHECK(group.AllHaveVersion(5));
+  group.Stop(0);
+  REQUIRE(group.Apply(submit_manifest{6, "e", "content"}));
+  for (int i = 0; i < kMembers; ++i) group.Stop(i);
+  for (int i = 0; i < kMembers; ++i) group.Start(i);
+  REQUIRE(group.Apply(submit_manifest{6, "e", "content"}));
+  CHECK(group.AllHaveVersion(6));
+  CHECK(group.observer.elections > 0);
+  CHECK(group.observer.version == 6);
+  for (int i = 0; i < kMembers; ++i) {
+    CHECK(group.Member(i).Status().members.size() == kMembers);
+    CHECK(group.Member(i).Quarantined(0) == std::vector<std::string>{"print"});
+  }
+}
+
+// Guards against a lone member that answers as if it were the leader, and against a proposal that
+// is never answered.
+TEST_CASE("a member without a group refuses proposals at once") {
+  local_group group;
+  group.Start(0);
+  std::promise<propose_response> answer;
+  group.Member(0).Propose(quarantine_request{"print"}, [&](propose_response response) {
+    answer.set_value(std::move(response));
+  });
+  const propose_response response = answer.get_future().get();
+  CHECK_FALSE(response.from_leader);
+  CHECK(response.result.failure.kind == error_kind::kNotLeader);
+  const control_status status = group.Member(0).Status();
+  CHECK(status.role == member_role::kLearner);
+  REQUIRE(status.members.size() == 1);
+  CHECK(status.members[0].member_id == status.member_id);
+}
+
+}  // namespace teaseljunction
--- a/src/control/tests/group_failure_test.cc
+++ b/src/control/tests/group_failure_test.cc
@@ -9,6 +9,15 @@
 namespace teaseljunction {
 namespace {
 
+void KillsDuringBootstrap(test_group& group) {
+  for (int round = 0; round < 6; ++round) {
+    group.KillWithinBatch(group.RandomNode());
+    group.Run(absl::Milliseconds(group.Random().Below(300)));
+    if (round % 2 == 1) group.Heal();
+  }
+  group.Heal();
+}
+
 void LossyLink(test_group& group) {
   group.faults = {0.2, 0.2, absl::Milliseconds(200)};
   group.Run(absl::Seconds(20));
@@ -144,7 +153,9 @@
   const scenario& chosen = kScenarios[seed % std::size(kScenarios)];
   try {
     test_group group(seed / std::size(kScenarios) % 2 == 0 ? 3 : 5, seed);
-    // Bootstrap has to work under the same link faults as everything else.
+    // Bootstrap has to work under the same faults as everything else.
+    group.faults = {0.1, 0.1, absl::Milliseconds(50)};
+    if (group.Random().Below(2) == 0) KillsDuringBootstrap(group);
     group.faults = {0.1, 0.1, absl::Milliseconds(50)};
     group.RunUntil("a first leader", [&] { return group.Leader() >= 0; });
     group.faults = {};
@@ -180,4 +191,35 @@
   }
 }
 
+// Guards against changes that could leave the group without a majority, and against operators'
+// repeated proposals that do harm.
+TEST_CASE("membership changes are refused unless they are safe") {
+  test_group group(3, 1);
+  group.load = false;
+  const uint64_t absent = 12345;
+  group.RunUntil("a leader", [&] { return group.Leader() >= 0; });
+  const int leader = group.Leader();
+  const int other = (leader + 1) % 3;
+  const uint64_t other_id = group.MemberId(other);
+  CHECK(group.Ask(promote{absent}).failure.kind == error_kind::kNotFound);
+  CHECK(group.Ask(remove_member{absent}).failure.kind == error_kind::kNotFound);
+  CHECK(group.Ask(add_learner{0, "9", "a"}).failure.kind == error_kind::kMalformedRequest);
+  CHECK(group.Ask(add_learner{other_id, "9", "a"}).failure.kind == error_kind::kMalformedRequest);
+  CHECK(group.Ask(promote{other_id}).already_accepted);
+  group.Kill(other);
+  CHECK(group.Ask(add_learner{absent, absl::StrCat(other), "a"}).applied);
+  CHECK(group.Ask(add_learner{absent, absl::StrCat(other), "a"}).already_accepted);
+  group.Run(absl::Seconds(2));
+  CHECK(group.Ask(promote{absent}).failure.kind == error_kind::kNoQuorum);
+  // The group would consist of the leader and a member that is down.
+  const uint64_t third_id = group.MemberId((leader + 2) % 3);
+  CHECK(group.Ask(remove_member{third_id}).failure.kind == error_kind::kNoQuorum);
+  CHECK(group.Ask(remove_member{absent}).applied);
+  CHECK(group.Ask(remove_member{group.MemberId(leader)}).failure.kind == error_kind::kNoQuorum);
+  group.Heal();
+  group.CheckProgress();
+  CHECK(group.Ask(remove_member{group.MemberId(group.Leader())}).applied);
+  group.RunUntil("another leader", [&] { return group.Leader() >= 0; });
+}
+
 }  // namespace teaseljunction
--- a/src/control/tests/mocks/test_group.cc
+++ b/src/control/tests/mocks/test_group.cc
@@ -279,9 +279,18 @@
   });
 }
 
+command_result test_group::Ask(const command& value) {
+  const auto answer = std::make_shared<absl::optional<command_result>>();
+  RunUntil("a leader", [&] { return Leader() >= 0; });
+  Propose(Leader(), value, [answer](propose_response response) { *answer = response.result; });
+  RunUntil("a response", [&] { return answer->has_value(); });
+  return **answer;
+}
+
 void test_group::Replace(int node, uint64_t old_member) {
   RunUntil("a new member id", [&] { return Core(node)->View().status.member_id != 0; });
-  Must(add_learner{MemberId(node), absl::StrCat(node), std::string(kDataCentre)});
+  const std::string data_centre(kDataCentre);
+  Must(add_learner{MemberId(node), absl::StrCat(node), data_centre});
   Must(promote{MemberId(node)});
   Must(remove_member{old_member});
 }
