Carry all fields of demands and grants between daemons

Cause: an account inside its rate was refused now and then. The numbers of waiting calls and missed grants, and the scarcity flag, were not in the wire schema, so the owner treated every demand as a reserve. Ruled out: the bucket (its tests pass) and the lifetime of grants. Change: wire fields for all members; a test that no longer compiles when a member is added to a native type only.

--- a/src/control/tests/control_member_test.cc
+++ b/src/control/tests/control_member_test.cc
@@ -90,9 +90,8 @@
       for (auto& [number, member] : members_) {
         if (!member || !member->LeaseHeld(clock_.Now())) continue;
         auto answer = std::make_shared<std::promise<propose_response>>();
-        member->Propose(value, [answer](propose_response response) {
-          answer->set_value(std::move(response));
-        });
+        member->Propose(
+            value, [answer](propose_response response) { answer->set_value(std::move(response)); });
         if (answer->get_future().get().result.applied) return true;
       }
       absl::SleepFor(kPoll);
--- a/src/rpc/internal/convert_sync.cc
+++ b/src/rpc/internal/convert_sync.cc
@@ -28,6 +28,8 @@
   for (unsigned i = 0; i < out.size(); ++i) {
     out[i].setClientAccount(ToText(demands[i].client_account));
     out[i].setTokens(demands[i].tokens);
+    out[i].setWaiting(demands[i].waiting);
+    out[i].setMissed(demands[i].missed);
   }
 }
 
@@ -72,6 +74,7 @@
     out[i].setTokens(grants[i].tokens);
     out[i].setLifetime(ToWire(grants[i].lifetime));
     out[i].setRetryAfter(ToWire(grants[i].retry_after));
+    out[i].setScarce(grants[i].scarce);
   }
 }
 
@@ -119,7 +122,8 @@
   value.directory_version = in.getDirectoryVersion();
   value.quarantine_size = in.getQuarantineSize();
   for (const auto demand : in.getDemands()) {
-    value.demands.push_back({FromText(demand.getClientAccount()), demand.getTokens()});
+    value.demands.push_back({FromText(demand.getClientAccount()), demand.getTokens(),
+                             demand.getWaiting(), demand.getMissed()});
   }
   for (const auto crash : in.getCrashes()) {
     value.crashes.push_back({FromText(crash.getFingerprint()), FromText(crash.getTarget()),
@@ -151,7 +155,7 @@
   for (const auto grant : in.getGrants()) {
     value.grants.push_back({FromText(grant.getClientAccount()), grant.getTokens(),
                             DurationFromWire(grant.getLifetime()),
-                            DurationFromWire(grant.getRetryAfter())});
+                            DurationFromWire(grant.getRetryAfter()), grant.getScarce()});
   }
   for (const auto fingerprint : in.getQuarantined()) {
     value.quarantined.push_back(FromText(fingerprint));
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -76,6 +76,8 @@
 struct TokenDemand {
   clientAccount @0 :Text;
   tokens @1 :UInt32;
+  waiting @2 :UInt32;
+  missed @3 :UInt32;
 }
 
 struct CrashReport {
@@ -120,6 +122,7 @@
   tokens @1 :UInt32;
   lifetime @2 :Int64;
   retryAfter @3 :Int64;
+  scarce @4 :Bool;
 }
 
 struct SyncResponse {
--- a/src/rpc/tests/convert_test.cc
+++ b/src/rpc/tests/convert_test.cc
@@ -73,7 +73,8 @@
   CHECK(received.level == result.level);
   CHECK(received.unused_attempts == 5);
 
-  sync_request sync{Daemon(), 1, "m", 2, 3, 4, {{"acme", 5}}, {{"f", "d2", true, absl::Seconds(3)}}};
+  sync_request sync{
+      Daemon(), 1, "m", 2, 3, 4, {{"acme", 5, 2, 1}}, {{"f", "d2", true, absl::Seconds(3)}}};
   CheckLossless<wire::SyncRequest>(sync);
   sync_response synced;
   synced.from_leader = true;
@@ -81,7 +82,7 @@
   synced.manifest = {4, "d", "{}"};
   synced.directory = {5, 6, true, true, {{Daemon(), false}}};
   synced.suspects = {"f3"};
-  synced.grants = {{"acme", 7, absl::Seconds(1), absl::Milliseconds(5)}};
+  synced.grants = {{"acme", 7, absl::Seconds(1), absl::Milliseconds(5), true}};
   synced.quarantined = {"f1", "f2"};
   CheckLossless<wire::SyncResponse>(synced);
   CHECK(RoundTrip<wire::SyncResponse>(synced).grants[0].lifetime == absl::Seconds(1));
@@ -127,4 +128,30 @@
   CHECK(decoded.level.priority == request_priority::kLow);
 }
 
+// Guards against a field that is added to a native type and not to its wire form: the bindings then
+// no longer compile. The rates of client accounts failed in this way, since a demand lost the
+// number of calls that wait.
+TEST_CASE("every field of the types of a sync arrives") {
+  sync_request request;
+  request.demands = {{"acme", 5, 2, 1}};
+  request.crashes = {{"f", "d2", true, absl::Seconds(3)}};
+  const sync_request requested = RoundTrip<wire::SyncRequest>(request);
+  const auto& [account, tokens, waiting, missed] = requested.demands[0];
+  CHECK((account == "acme" && tokens == 5 && waiting == 2 && missed == 1));
+  const auto& [fingerprint, target, completed, age] = requested.crashes[0];
+  CHECK((fingerprint == "f" && target == "d2" && completed && age == absl::Seconds(3)));
+
+  sync_response response;
+  response.grants = {{"acme", 7, absl::Seconds(1), absl::Milliseconds(5), true}};
+  response.directory = {5, 6, true, true, {{Daemon(), false}}};
+  response.suspects = {"f3"};
+  const sync_response responded = RoundTrip<wire::SyncResponse>(response);
+  const auto& [name, granted, lifetime, retry_after, scarce] = responded.grants[0];
+  CHECK((name == "acme" && granted == 7 && scarce));
+  CHECK((lifetime == absl::Seconds(1) && retry_after == absl::Milliseconds(5)));
+  const auto& [epoch, version, whole, settled, entries] = responded.directory;
+  CHECK((epoch == 5 && version == 6 && whole && settled && entries.size() == 1));
+  CHECK(responded.suspects == response.suspects);
+}
+
 }  // namespace teaseljunction
