--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -68,8 +68,8 @@
   /// Returns the better one of two random candidates, or null when there is none.
   target_state* Pick(const choice_request& request, fast_random& random) const {
     if (size_ == 0) return nullptr;
-    const size_t first = Draw(request, random, size_);
     if (size_ == 1) return targets_[0];
+    const size_t first = Draw(request, random, size_);
     const size_t second = Draw(request, random, first);
     return request.Better(targets_[first], targets_[second]);
   }
