Refuse negative zero in manifests and test damaged texts

A retry ratio of -0 was accepted and gave a second digest for the same meaning. It is refused now. A seeded test changes the sample manifest at random places and checks that the result is refused or has a stable canonical form. Route lookups copy the path only when it has percent-encoding.

--- a/src/manifest/internal/manifest_index.cc
+++ b/src/manifest/internal/manifest_index.cc
@@ -106,15 +106,20 @@
 
 route_match manifest_index::FindRoute(absl::string_view method, absl::string_view path) const {
   route_match match;
-  const absl::optional<std::string> decoded = DecodeUnreserved(path);
-  if (!decoded.has_value() || HasDotOrEmptySegment(*decoded)) return match;
-  match.matched = FindNormalised(method, *decoded);
+  absl::optional<std::string> decoded;
+  if (absl::StrContains(path, '%')) {
+    decoded = DecodeUnreserved(path);
+    if (!decoded.has_value()) return match;
+    path = *decoded;
+  }
+  if (HasDotOrEmptySegment(path)) return match;
+  match.matched = FindNormalised(method, path);
   if (match.matched != nullptr) {
     match.target_service = FindService(match.matched->service);
     return match;
   }
   for (const absl::string_view other : kMethods) {
-    if (FindNormalised(other, *decoded) == nullptr) continue;
+    if (FindNormalised(other, path) == nullptr) continue;
     absl::StrAppend(&match.allow, match.allow.empty() ? "" : ", ", other);
   }
   if (!match.allow.empty()) match.failure = error_kind::kMethodNotAllowed;
--- a/src/manifest/internal/manifest_validation.cc
+++ b/src/manifest/internal/manifest_validation.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
@@ -76,8 +77,10 @@
   return absl::StrCat(place, ": has ", size, " entries; the limit is ", max);
 }
 
+// `min` is never negative. Negative zero is refused too, because it would give a second digest for
+// the same meaning.
 fault CheckRange(absl::string_view place, double value, double min, double max) {
-  if (value >= min && value <= max) return absl::nullopt;
+  if (!std::signbit(value) && value >= min && value <= max) return absl::nullopt;
   return absl::StrCat(place, ": must be in ", min, " to ", max, ", found ", value);
 }
 
--- a/src/manifest/tests/manifest_codec_test.cc
+++ b/src/manifest/tests/manifest_codec_test.cc
@@ -1,6 +1,7 @@
 #include "manifest/manifest_codec.h"
 
 #include <catch2/catch.hpp>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,7 @@
       {digest_b, digest_a, "clientAccounts[0].keyDigests[1]: the digest is already used"},
       {digest_b, "sha256:abc", "clientAccounts[0].keyDigests[1]: expected \"sha256:\""},
       {R"(0.2)", R"(1.5)", "services[0].retryRatio: must be in 0 to 1"},
+      {R"(0.2)", R"(-0.0)", "services[0].retryRatio: must be in 0 to 1"},
       {R"(0.2)", R"(-0.1)", "services[0].retryRatio: must be in 0 to 1"},
       {R"("retryRatio": 0.2)", R"("maxConcurrency": 4294967296)",
        "services[0].maxConcurrency: must be at most 4294967295"},
@@ -153,6 +155,29 @@
   CHECK(FaultOf(text + "\n").empty());
 }
 
+// Guards against an exception that leaves the module, and against an accepted text without a stable
+// canonical form.
+TEST_CASE("damaged texts are refused or have a stable canonical form") {
+  const auto seed = GENERATE(range(1U, 2'000U));
+  std::mt19937 random(seed);
+  std::string text = SampleManifest();
+  const std::string pieces = "{}[]\",:0-9.eE+ntf\\u/* \n\x80";
+  for (int i = 0; i < 3; ++i) {
+    const size_t at = random() % text.size();
+    if (random() % 2 == 0) text[at] = pieces[random() % pieces.size()];
+    if (random() % 4 == 0) text.insert(at, text.substr(random() % text.size(), random() % 40));
+  }
+  INFO("manifest_test \"damaged texts are refused or have a stable canonical form\", seed "
+       << seed);
+  const auto decoded = Capture<manifest>([&] { return DecodeManifest(text); });
+  if (decoded.index() == 1) {
+    CHECK_FALSE(std::get<1>(decoded).detail.empty());
+  } else {
+    const std::string canonical = EncodeManifest(std::get<0>(decoded));
+    CHECK(EncodeManifest(Decoded(canonical)) == canonical);
+  }
+}
+
 // Guards against memory that is bounded by the sender only.
 TEST_CASE("size limits hold") {
   CHECK_THAT(FaultOf(std::string(kMaxManifestBytes + 1, ' ')), Catch::Contains("the limit is"));
