--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -38,6 +38,10 @@
     if (report.success[i] < 0) continue;
     success[std::string(PriorityName(static_cast<request_priority>(i)))] = report.success[i];
   }
+  nlohmann::json failures;
+  for (const auto& [key, count] : report.failures) {
+    failures[std::string(AnswerFor(key.first).name)][std::string(PriorityName(key.second))] = count;
+  }
   return {{"trace", report.trace},
           {"policy", report.policy},
           {"requests", report.requests},
@@ -47,6 +51,7 @@
           {"worstAccountShare", report.worst_account_share},
           {"wrongfulRefusals", report.wrongful_refusals},
           {"success", success},
+          {"failures", failures},
           {"maxAttempts", report.max_attempts}};
 }
 
--- a/src/bench/replay.h
+++ b/src/bench/replay.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <array>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/types/span.h"
@@ -45,6 +47,8 @@
   double wrongful_refusals = 0;
   /// Share of requests that succeeded during the disturbance, per priority; negative without any.
   std::array<double, kPriorityCount> success = {};
+  /// Failed entry requests, repeats by callers included, per error kind and priority.
+  std::map<std::pair<error_kind, request_priority>, uint64_t> failures;
   /// Most attempts that one request caused at all depths together.
   int max_attempts = 0;
 };
--- a/src/bench/replay_score.h
+++ b/src/bench/replay_score.h
@@ -15,6 +15,9 @@
   /// Records the final end of a request, after the caller's own repeats.
   void RecordEnd(size_t route, size_t account, absl::Duration arrival, bool ok, int attempts);
 
+  /// Records that one entry request failed; the caller may send it again.
+  void RecordFailure(size_t route, error_kind kind);
+
   replay_report Report() const;
 
  private:
@@ -29,6 +32,7 @@
 
   bool Disturbed(absl::Duration arrival) const;
   bool CapacityExists(absl::Duration arrival) const;
+  bool OverItsRate(size_t account) const;
   double RecoverySeconds() const;
   double WorstAccountShare() const;
   double AllowedRequests() const;
@@ -41,6 +45,7 @@
   std::vector<tally> per_account_;
   tally disturbed_;
   tally undisturbed_;
+  std::map<std::pair<error_kind, request_priority>, uint64_t> failures_;
   uint64_t requests_ = 0;
   int max_attempts_ = 0;
 };
