--- a/src/admission/internal/level_control.cc
+++ b/src/admission/internal/level_control.cc
@@ -50,6 +50,11 @@
 
 }  // namespace
 
+level_control::level_control() {
+  last_standing_.fill(absl::InfinitePast());
+  standing_since_.fill(absl::InfinitePast());
+}
+
 void level_control::OnArrival(absl::string_view account, request_priority priority, uint8_t cohort,
                               absl::Time now) {
   const auto [entry, added] = accounts_.try_emplace(account);
@@ -86,6 +91,7 @@
   if (Stale(now)) {
     Reset();
     last_step_ = now;
+    standing_since_.fill(now);
     return;
   }
   const double seconds = absl::ToDoubleSeconds(now - last_step_);
--- a/src/admission/internal/level_control.h
+++ b/src/admission/internal/level_control.h
@@ -30,6 +30,8 @@
 /// important ones have a standing queue.
 class level_control {
  public:
+  level_control();
+
   /// Counts an arriving call, admitted or not.
   void OnArrival(absl::string_view account, request_priority priority, uint8_t cohort,
                  absl::Time now);
@@ -95,8 +97,8 @@
   absl::Time last_step_ = absl::InfinitePast();
   absl::Time last_overload_ = absl::InfinitePast();
   /// Per priority, when it last had a standing queue, and since when without a pause.
-  std::array<absl::Time, kPriorityCount> last_standing_ = {};
-  std::array<absl::Time, kPriorityCount> standing_since_ = {};
+  std::array<absl::Time, kPriorityCount> last_standing_;
+  std::array<absl::Time, kPriorityCount> standing_since_;
 };
 
 }  // namespace teaseljunction
--- a/src/shares/share_owner.h
+++ b/src/shares/share_owner.h
@@ -39,8 +39,9 @@
   void EndTerm();
 
   /// Debits tokens for one daemon and returns them. Grants nothing outside a term and to unknown
-  /// accounts; `retry_after` is then one second. When the demands of the last second exceed the
-  /// tokens, each is granted in proportion.
+  /// accounts; `retry_after` is then one second. When more calls wait than there are tokens, each
+  /// daemon gets its proportion, and daemons that got none before come first. Tokens for a stock
+  /// are granted only from the last quarter of a full bucket.
   token_grant Demand(const token_demand& demand, absl::Time now);
 
  private:
