--- a/src/common/internal/sockets.cc
+++ b/src/common/internal/sockets.cc
@@ -2,10 +2,12 @@
 
 #include <arpa/inet.h>
 #include <linux/filter.h>
+#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <string>
@@ -83,6 +85,18 @@
   return ntohs(reinterpret_cast<const sockaddr_in*>(&storage)->sin_port);
 }
 
+std::string RemoteIp(int fd) {
+  sockaddr_storage address{};
+  socklen_t length = sizeof(address);
+  std::array<char, NI_MAXHOST> text{};
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (getpeername(fd, generic, &length) != 0) return "";
+  if (getnameinfo(generic, length, text.data(), text.size(), nullptr, 0, NI_NUMERICHOST) != 0) {
+    return "";
+  }
+  return text.data();
+}
+
 void IgnoreNewConnections(int fd) {
   // Drops segments with SYN and without ACK. The filter sees the segment from its TCP header on,
   // whose byte 13 holds the flags.
--- a/src/common/sockets.h
+++ b/src/common/sockets.h
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <cstdint>
+#include <string>
 
 #include "absl/strings/string_view.h"
 #include "common/result.h"
@@ -27,6 +28,9 @@
 /// Returns the port of a bound socket, 0 on failure.
 uint16_t BoundPort(int fd);
 
+/// Returns the IP address of the other end of a connected socket, empty on failure.
+std::string RemoteIp(int fd);
+
 /// Makes a listening socket ignore new connections, while those that are already being set up can
 /// still be accepted. Closing the socket directly would reset the latter after their clients may
 /// have sent a request.
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -112,7 +112,8 @@
                                                            targets_, *control_, *peers_,
                                                            quarantine_, metrics_, pending_});
   target_endpoint_ = std::make_unique<target_endpoint>(*executor_);
-  entry_ = std::make_unique<entry_service>(*entry_ports_, config_, contexts_, *target_endpoint_);
+  entry_ = std::make_unique<entry_service>(*entry_ports_, config_, contexts_, *target_endpoint_,
+                                           settings_.listen.substr(0, settings_.listen.rfind(':')));
 }
 
 daemon_process_impl::~daemon_process_impl() {
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <thread>
 
+#include "absl/synchronization/mutex.h"
 #include "common/log.h"
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
@@ -52,6 +53,9 @@
 }  // namespace teaseljunction
 
 int main(int argc, char** argv) {
+  // Debian builds Abseil with deadlock detection, which makes nested locks about 15 times as
+  // expensive.
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   using namespace teaseljunction;  // NOLINT(google-build-using-namespace)
   auto settings = Capture<daemon_settings>([&] { return ReadSettings(argc, argv); });
   if (const auto* failure = std::get_if<error>(&settings)) {
--- a/src/gateway/entry_service.h
+++ b/src/gateway/entry_service.h
@@ -15,8 +15,9 @@
 /// Thread-safe.
 class entry_service : public http_handler {
  public:
+  /// `own_ip` is the address of this host. Only processes on it may announce a target.
   entry_service(const entry_ports& ports, const configuration& config, call_context_table& contexts,
-                target_endpoint& target);
+                target_endpoint& target, std::string own_ip);
 
   void Handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
@@ -28,6 +29,7 @@
   const configuration& config_;
   call_context_table& contexts_;
   target_endpoint& target_;
+  const std::string own_ip_;
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/internal/account_limiter.cc
+++ b/src/gateway/internal/account_limiter.cc
@@ -32,12 +32,15 @@
   shard& owner = ShardOf(client_account);
   uint64_t waiter_id = 0;
   bool urgent = false;
+  completion ready;
   {
     absl::MutexLock lock(&owner.mutex);
     const absl::Time now = clock_.Now();
     auto& queue = owner.waiting[client_account];
     // Requests that wait already come first.
-    if (!queue.empty() || !owner.holder.TryTake(client_account, now)) {
+    if (queue.empty() && owner.holder.TryTake(client_account, now)) {
+      ready = std::move(done);
+    } else {
       waiter_id = ++owner.next_waiter_id;
       queue.push_back({waiter_id, std::move(done)});
       owner.holder.AddWaiting(client_account);
@@ -45,10 +48,7 @@
     urgent = owner.holder.Urgent(now);
   }
   if (urgent) request_sync_();
-  if (waiter_id == 0) {
-    done({.granted = true, .retry_after = absl::ZeroDuration()});
-    return;
-  }
+  if (ready) return ready({.granted = true, .retry_after = absl::ZeroDuration()});
   timers_.RunAt(clock_.Now() + max_wait_, [this, &owner, account = std::string(client_account),
                                            waiter_id] { Expire(owner, account, waiter_id); });
 }
--- a/src/gateway/internal/entry_service.cc
+++ b/src/gateway/internal/entry_service.cc
@@ -10,15 +10,26 @@
 namespace {
 
 constexpr int kRequestIdBytes = 8;
+constexpr absl::string_view kLoopbackPrefix = "127.";
 
 }  // namespace
 
 entry_service::entry_service(const entry_ports& ports, const configuration& config,
-                             call_context_table& contexts, target_endpoint& target)
-    : ports_(ports), config_(config), contexts_(contexts), target_(target) {}
+                             call_context_table& contexts, target_endpoint& target,
+                             std::string own_ip)
+    : ports_(ports),
+      config_(config),
+      contexts_(contexts),
+      target_(target),
+      own_ip_(std::move(own_ip)) {}
 
 void entry_service::Handle(http_request request, std::shared_ptr<http_exchange> exchange) {
   if (request.path == kTargetPath) {
+    // An announcement from another host could draw calls to a foreign process.
+    if (request.remote_ip != own_ip_ && !absl::StartsWith(request.remote_ip, kLoopbackPrefix)) {
+      exchange->Respond(ProblemResponse({error_kind::kNotFound, ""}, ""));
+      return;
+    }
     exchange->Respond(target_.Handle(request));
     return;
   }
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -116,6 +116,7 @@
   if (code == MHD_CONNECTION_NOTIFY_STARTED) {
     auto* state = new server_connection;
     state->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    state->remote_ip = RemoteIp(state->fd);
     *context = state;
     absl::MutexLock lock(&self->mutex_);
     self->connections_.insert(state);
@@ -166,6 +167,7 @@
   const absl::optional<error> refusal = CheckHeaders(connection, *state, *request);
   if (refusal) return Refuse(connection, *refusal);
   request->message.path = std::move(state->target);
+  request->message.remote_ip = state->remote_ip;
   return MHD_YES;
 }
 
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -22,6 +22,7 @@
 /// State of one connection, kept by libmicrohttpd as the context of the socket.
 struct server_connection {
   int fd = -1;
+  std::string remote_ip;
   /// Request target of the current request as received.
   std::string target;
   /// True from the request line to the end of the response.
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -14,6 +14,8 @@
   std::string path;
   std::vector<http_header> headers;
   std::string body;
+  /// IP address of the client of a received request; empty in requests to be sent.
+  std::string remote_ip;
 };
 
 /// A whole HTTP response, to be sent or received.
