Test that a leader with a lease is not replaced

Cause: the random scenarios do not show a follower that votes during a lease. Change: a case in which one follower alone loses the leader.

--- a/src/control/tests/group_failure_test.cc
+++ b/src/control/tests/group_failure_test.cc
@@ -191,6 +191,18 @@
   }
 }
 
+// Guards against a member that replaces a leader whose lease the other members still support.
+TEST_CASE("a follower that alone lost the leader does not replace it") {
+  test_group group(3, 2);
+  group.load = false;
+  group.RunUntil("a leader", [&] { return group.Leader() >= 0; });
+  const int leader = group.Leader();
+  group.Run(absl::Seconds(1));
+  group.Block(leader, (leader + 1) % 3, true);
+  group.Run(absl::Seconds(5));
+  CHECK(group.Leader() == leader);
+}
+
 // Guards against changes that could leave the group without a majority, and against operators'
 // repeated proposals that do harm.
 TEST_CASE("membership changes are refused unless they are safe") {
