--- a/src/bench/internal/replay.cc
+++ b/src/bench/internal/replay.cc
@@ -146,7 +146,7 @@
   events_.RunUntil(start_ + trace_.duration);
   replay_report report = score_.Report();
   report.trace = trace_.name;
-  report.policy = std::string(policy_.name);
+  report.policy = absl::StrCat(policy_.name);
   return report;
 }
 
--- a/src/bench/internal/trace.cc
+++ b/src/bench/internal/trace.cc
@@ -197,7 +197,7 @@
   for (const trace_route& entry : source.routes) {
     routes.push_back({{"name", entry.name},
                       {"chain", entry.chain},
-                      {"priority", std::string(PriorityName(entry.priority))},
+                      {"priority", absl::StrCat(PriorityName(entry.priority))},
                       {"idempotent", entry.idempotent},
                       {"timeoutMs", InMilliseconds(entry.timeout)},
                       {"share", entry.share}});
--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -6,8 +6,10 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
+#include "bench/decision.h"
 #include "bench/overhead.h"
 #include "bench/replay.h"
 #include "bench/trace.h"
@@ -36,7 +38,7 @@
   nlohmann::json success;
   for (int i = 0; i < kPriorityCount; ++i) {
     if (report.success[i] < 0) continue;
-    success[std::string(PriorityName(static_cast<request_priority>(i)))] = report.success[i];
+    success[absl::StrCat(PriorityName(static_cast<request_priority>(i)))] = report.success[i];
   }
   return {{"trace", report.trace},
           {"policy", report.policy},
@@ -156,6 +158,37 @@
   return 0;
 }
 
+nlohmann::json DecisionJson(const decision_report& report) {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const decision_row& row : report.rows) {
+    rows.push_back({{"operation", row.operation},
+                    {"threads", row.threads},
+                    {"shared", row.shared},
+                    {"nanoseconds", row.nanoseconds},
+                    {"cpuNanoseconds", row.cpu_nanoseconds},
+                    {"perSecond", row.per_second}});
+  }
+  return {{"rows", rows}, {"claims", report.claims}, {"bytesPerClaim", report.bytes_per_claim}};
+}
+
+int RunDecision() {
+  const decision_report report = MeasureDecisions();
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << DecisionJson(report).dump(1) << "\n";
+    return 0;
+  }
+  std::cout << absl::StrFormat("%-14s %-9s %8s %12s %12s %14s\n", "operation", "instances",
+                               "threads", "ns each", "cpu ns", "per second");
+  for (const decision_row& row : report.rows) {
+    std::cout << absl::StrFormat("%-14s %-9s %8d %12.0f %12.0f %14.0f\n", row.operation,
+                                 row.shared ? "one" : "own", row.threads, row.nanoseconds,
+                                 row.cpu_nanoseconds, row.per_second);
+  }
+  std::cout << absl::StrFormat("claims: %d, %.0f bytes each\n", report.claims,
+                               report.bytes_per_claim);
+  return 0;
+}
+
 int WriteTraces(const std::string& folder) {
   for (const trace& generated : StandardTraces()) {
     std::ofstream file(folder + "/" + generated.name + ".json");
@@ -176,13 +209,15 @@
       "Measurements.\n"
       "  teaseljunction-bench replay [--json] [--policy=NAME] TRACE...\n"
       "  teaseljunction-bench traces FOLDER\n"
-      "  teaseljunction-bench overhead --direct=A --local=B --remote=C [--key=K] [--json]");
+      "  teaseljunction-bench overhead --direct=A --local=B --remote=C [--key=K] [--json]\n"
+      "  teaseljunction-bench decision [--json]");
   std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
   const std::string command = arguments.size() > 1 ? arguments[1] : "";
   const std::vector<char*> rest(arguments.begin() + std::min<size_t>(2, arguments.size()),
                                 arguments.end());
   if (command == "replay" && !rest.empty()) return teaseljunction::RunReplay(rest);
   if (command == "overhead" && rest.empty()) return teaseljunction::RunOverhead();
+  if (command == "decision" && rest.empty()) return teaseljunction::RunDecision();
   if (command == "traces" && rest.size() == 1) return teaseljunction::WriteTraces(rest[0]);
   std::cerr << absl::ProgramUsageMessage() << "\n";
   return teaseljunction::kUsageExitCode;
