Recognise a crash after the lost call has ended

Cause: a request that crashed its targets was never quarantined and ran on three targets. The lost connection ended the call, which removed it from the calls in flight, before a new process or a refused connection showed that the target was lost; and no code reported kTargetCrashed, so retries after a crash had no bound of their own. A suspended leader answered an operator's read with the manifest from before its suspension. Ruled out: the leader's tracker and the quarantine list, which pass their tests. Change: a call with a lost connection stays a suspect until the same process announces itself again, and is reported when it does not for 1.5 s. It ends with kTargetCrashed. Manifest reads need a confirmed manifest. An attempt to propose ends after 0.8 s instead of 2.5 s, so that a suspended leader costs less than the route's timeout.

--- a/src/daemon/internal/leader_client.cc
+++ b/src/daemon/internal/leader_client.cc
@@ -6,7 +6,8 @@
 namespace teaseljunction {
 namespace {
 
-constexpr absl::Duration kAttemptTimeout = absl::Milliseconds(2500);
+// A suspended leader does not answer; its successor can accept commands after about a second.
+constexpr absl::Duration kAttemptTimeout = absl::Milliseconds(800);
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(50);
 
 bool IsUnknown(error_kind kind) {
--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -145,6 +145,11 @@
 }
 
 void operator_handler::GetManifest(const http_request&, exchange_pointer exchange) {
+  // A daemon that was suspended or cut off may know an old manifest only.
+  if (!node_.Status().fresh) {
+    exchange->Respond(ProblemResponse({error_kind::kConfigurationStale, ""}, ""));
+    return;
+  }
   const manifest_record record = node_.Manifest();
   if (record.version == 0) {
     exchange->Respond(ProblemResponse({error_kind::kNotFound, "No manifest is in force."}, ""));
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -12,6 +12,11 @@
 
 constexpr int kServiceUnavailable = 503;
 constexpr int kServerErrorStatus = 500;
+// An announcement that was on its way when the process crashed arrives within this time.
+constexpr absl::Duration kAnnouncementDelay = absl::Milliseconds(200);
+// Targets announce themselves once a second. Without an announcement for this long after a lost
+// connection, the process counts as lost.
+constexpr absl::Duration kLossConfirmation = absl::Milliseconds(1500);
 // Headers and bookkeeping of a queued call, for the bound on queue memory.
 constexpr size_t kCallOverheadBytes = 1024;
 
@@ -69,7 +74,13 @@
     absl::MutexLock lock(&mutex_);
     const absl::Time now = ports_.clock.Now();
     processed = lease_.Announce(announced, now);
-    if (processed == announce_result::kReplaced) HandleTargetLoss(now);
+    if (processed == announce_result::kRenewed) {
+      // The process lives on, so these calls lost their connection for another reason.
+      ForgetSuspectedLosses(now - kAnnouncementDelay, now);
+    }
+    if (processed == announce_result::kReplaced || processed == announce_result::kJoined) {
+      HandleTargetLoss(now);
+    }
     if (processed == announce_result::kReplaced || processed == announce_result::kJoined) {
       LOG(INFO) << "membership: target of service " << announced.service << " at "
                 << announced.address << " has joined with incarnation " << announced.incarnation
@@ -239,8 +250,13 @@
     tasks_.erase(found);
     now = ports_.clock.Now();
     admission_.Finish(call_id, result, now - finished->started_at, now);
-    suspects_.Finished(finished->request.fingerprint, result == target_result::kAnswered, now);
-    const auto* failure = std::get_if<error>(&response);
+    auto* failure = std::get_if<error>(&response);
+    if (failure != nullptr && failure->kind == error_kind::kTargetFailed) {
+      failure->kind = error_kind::kTargetCrashed;
+      SuspectLoss(finished->request.fingerprint, now);
+    } else {
+      suspects_.Finished(finished->request.fingerprint, result == target_result::kAnswered, now);
+    }
     if (failure != nullptr && failure->kind == error_kind::kTargetUnreachable) {
       HandleTargetLoss(now);
     }
@@ -251,12 +267,32 @@
   RunDeferred(std::move(work));
 }
 
+void target_executor::SuspectLoss(const std::string& fingerprint, absl::Time now) {
+  suspected_losses_.push_back({fingerprint, now});
+  ports_.timers.RunAt(now + kLossConfirmation, [this, now] {
+    absl::MutexLock lock(&mutex_);
+    // No announcement has cleared the call in the meantime.
+    const bool open = std::any_of(suspected_losses_.begin(), suspected_losses_.end(),
+                                  [now](const suspected_loss& loss) { return loss.when == now; });
+    if (open) HandleTargetLoss(ports_.clock.Now());
+  });
+}
+
+void target_executor::ForgetSuspectedLosses(absl::Time before, absl::Time now) {
+  std::erase_if(suspected_losses_, [&](const suspected_loss& loss) {
+    if (loss.when > before) return false;
+    suspects_.Finished(loss.fingerprint, false, now);
+    return true;
+  });
+}
+
 void target_executor::HandleTargetLoss(absl::Time now) {
   for (crash_report& report : suspects_.TargetLost(now)) {
     LOG(WARNING) << "quarantine: the target was lost while it ran the request with fingerprint "
                  << report.fingerprint << ".";
     crash_reports_.push_back(std::move(report));
   }
+  ForgetSuspectedLosses(now, now);
 }
 
 void target_executor::Cancel(uint64_t call_id) {
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -82,6 +82,13 @@
   };
   class execution_handle;
 
+  // A call whose connection was lost. Until it is known whether the target's process was lost too,
+  // the call counts as in flight.
+  struct suspected_loss {
+    std::string fingerprint;
+    absl::Time when;
+  };
+
   // Work to be done after the lock is released.
   struct deferred_work {
     std::vector<uint64_t> starts;
@@ -98,6 +105,10 @@
   void StartCall(uint64_t call_id);
   void OnResponse(uint64_t call_id, outcome<http_response> response);
   void HandleTargetLoss(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void SuspectLoss(const std::string& fingerprint, absl::Time now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ForgetSuspectedLosses(absl::Time before, absl::Time now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplySlots(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   overload_level LevelNow() ABSL_LOCKS_EXCLUDED(mutex_);
   void Deliver(task& finished, outcome<call_answer> answer, absl::Duration service_time);
@@ -107,6 +118,7 @@
   admission_controller admission_ ABSL_GUARDED_BY(mutex_);
   target_lease lease_ ABSL_GUARDED_BY(mutex_);
   suspect_tracker suspects_ ABSL_GUARDED_BY(mutex_);
+  std::vector<suspected_loss> suspected_losses_ ABSL_GUARDED_BY(mutex_);
   std::vector<crash_report> crash_reports_ ABSL_GUARDED_BY(mutex_);
   absl::flat_hash_map<uint64_t, std::shared_ptr<task>> tasks_ ABSL_GUARDED_BY(mutex_);
   uint64_t next_call_id_ ABSL_GUARDED_BY(mutex_) = 0;
