Measure decisions without Abseil's deadlock detection

The installed Abseil library takes one lock for the whole process at each lock of an absl::Mutex, so instances under own locks did not scale.

--- a/src/bench/decision.h
+++ b/src/bench/decision.h
@@ -29,7 +29,9 @@
 };
 
 /// Measures the decisions that the daemon takes for each call, and claims, on 1 to 8 threads. Each
-/// figure is the median of several runs.
-decision_report MeasureDecisions();
+/// figure is the median of several runs. `deadlock_detection` leaves Abseil's search for lock
+/// cycles as it is in the installed library, otherwise it is turned off. It takes one lock for the
+/// whole process at each lock of an absl::Mutex.
+decision_report MeasureDecisions(bool deadlock_detection);
 
 }  // namespace teaseljunction
--- a/src/bench/internal/decision.cc
+++ b/src/bench/internal/decision.cc
@@ -298,7 +298,10 @@
 
 }  // namespace
 
-decision_report MeasureDecisions() {
+decision_report MeasureDecisions(bool deadlock_detection) {
+  if (!deadlock_detection) {
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
+  }
   decision_report report;
   report.claims = kClaimsForMemory;
   // Measured first, since memory that later runs have freed would be used again.
--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -28,6 +28,8 @@
           "overhead: calls per second");
 ABSL_FLAG(std::vector<std::string>, pids, {}, "overhead: processes whose use is reported");
 ABSL_FLAG(int, rounds, 10, "overhead: rounds of one second for each way and rate");
+ABSL_FLAG(bool, deadlock_detection, false,
+          "decision: keep the deadlock detection of the Abseil library as installed");
 
 namespace teaseljunction {
 namespace {
@@ -172,7 +174,7 @@
 }
 
 int RunDecision() {
-  const decision_report report = MeasureDecisions();
+  const decision_report report = MeasureDecisions(absl::GetFlag(FLAGS_deadlock_detection));
   if (absl::GetFlag(FLAGS_json)) {
     std::cout << DecisionJson(report).dump(1) << "\n";
     return 0;
@@ -210,7 +212,7 @@
       "  teaseljunction-bench replay [--json] [--policy=NAME] TRACE...\n"
       "  teaseljunction-bench traces FOLDER\n"
       "  teaseljunction-bench overhead --direct=A --local=B --remote=C [--key=K] [--json]\n"
-      "  teaseljunction-bench decision [--json]");
+      "  teaseljunction-bench decision [--json] [--deadlock_detection]");
   std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
   const std::string command = arguments.size() > 1 ? arguments[1] : "";
   const std::vector<char*> rest(arguments.begin() + std::min<size_t>(2, arguments.size()),
