Let a few syncs follow each other quickly

Cause: added p99 through two daemons was 9.7 ms at 1,000 calls/s on an idle machine. When traffic starts, the first sync covers the waiting calls only, and the next one came 100 ms later, so calls waited for tokens. Ruled out: load of the machine (load average 1.1), direct calls (p99 0.48 ms). Change: an allowance of ten syncs at intervals of 5 ms; the average stays at ten a second.

--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -10,8 +10,11 @@
 namespace {
 
 constexpr absl::Duration kSyncInterval = absl::Seconds(1);
-// Bound of early syncs; ten a second stay within 6 KB/s per node.
+// Average interval of early syncs; ten a second stay within 6 KB/s per node.
 constexpr absl::Duration kMinSyncInterval = absl::Milliseconds(100);
+// Interval of syncs while the allowance lasts, and the allowance in syncs.
+constexpr absl::Duration kQuickSyncInterval = absl::Milliseconds(5);
+constexpr int kQuickSyncs = 10;
 constexpr absl::Duration kSyncTimeout = absl::Milliseconds(800);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(100);
 
@@ -62,7 +65,12 @@
     requested_ = true;
     return;
   }
-  ScheduleAt(std::max(ports_.clock.Now(), last_sent_ + kMinSyncInterval));
+  ScheduleAt(EarliestSync(ports_.clock.Now()));
+}
+
+absl::Time sync_loop::EarliestSync(absl::Time now) const {
+  const absl::Time allowed = allowance_full_at_ - (kQuickSyncs - 1) * kMinSyncInterval;
+  return std::max({now, last_sent_ + kQuickSyncInterval, allowed});
 }
 
 void sync_loop::BeginDrain() {
@@ -126,6 +134,7 @@
     scheduled_for_ = absl::InfiniteFuture();
     timer_id_ = 0;
     last_sent_ = ports_.clock.Now();
+    allowance_full_at_ = std::max(allowance_full_at_, last_sent_) + kMinSyncInterval;
   }
   // Read before the request is built: what the leader confirms is as old as this.
   const absl::Time sent_at = ports_.clock.Now();
@@ -153,8 +162,9 @@
   absl::MutexLock lock(&mutex_);
   in_flight_ = false;
   if (succeeded) unsent_reports_.clear();
-  const bool soon = requested_ || !succeeded;
-  ScheduleAt(sent_at + (soon ? std::max(kMinSyncInterval, kRetryInterval) : kSyncInterval));
+  if (!succeeded) return ScheduleAt(sent_at + kRetryInterval);
+  if (requested_) return ScheduleAt(EarliestSync(ports_.clock.Now()));
+  ScheduleAt(sent_at + kSyncInterval);
 }
 
 void sync_loop::Apply(const sync_response& response, uint64_t known_quarantine,
--- a/src/daemon/sync_loop.h
+++ b/src/daemon/sync_loop.h
@@ -40,7 +40,8 @@
   /// Sends the first sync and goes on until `Stop`.
   void Start();
 
-  /// Asks for a sync before the next regular one, at most ten times a second.
+  /// Asks for a sync before the next regular one. Syncs are sent ten times a second on average, and
+  /// up to ten follow each other quickly, so that calls wait little when traffic starts.
   void RequestSync();
 
   /// Announces the planned shutdown from the next sync on.
@@ -59,6 +60,7 @@
   void OnManifest(absl::AnyInvocable<void(const manifest_index&)> callback);
 
  private:
+  absl::Time EarliestSync(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ScheduleAt(absl::Time when) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Send();
   sync_request BuildRequest();
@@ -79,6 +81,8 @@
   bool draining_ ABSL_GUARDED_BY(mutex_) = false;
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
   absl::Time last_sent_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  // Time at which the allowance of quick syncs is full again.
+  absl::Time allowance_full_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   absl::Time scheduled_for_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
   uint64_t timer_id_ ABSL_GUARDED_BY(mutex_) = 0;
   uint64_t sent_quarantine_size_ ABSL_GUARDED_BY(mutex_) = 0;
