--- a/src/gateway/tests/call_resolver_test.cc
+++ b/src/gateway/tests/call_resolver_test.cc
@@ -110,6 +110,9 @@
   CHECK(child.deadline == kNow + absl::Milliseconds(40));
   CHECK_FALSE(child.needs_share);
   CHECK(child.request.identity != std::get<resolved_call>(second).request.identity);
+  // The route of this child call is of normal priority.
+  const auto lookup = fixture.Resolve({"GET", "/stock/1", {{"Teaseljunction-Context", token}}, ""});
+  CHECK(std::get<resolved_call>(lookup).request.priority == request_priority::kCritical);
   fixture.contexts.Remove(token);
   CHECK(std::get<error>(fixture.Resolve(request)).kind == error_kind::kContextUnknown);
 }
