Report the last outcome when no further attempt is possible

Cause: when a retry found no other target, the caller got no-target instead of the reason of the attempt before, or outcome-unknown instead of the target's whole answer. The rates of a manifest were read in two places. Change: the last failure or answer is kept and reported; one function reads the rates.

--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "daemon/account_rates.h"
 #include "manifest/manifest_codec.h"
 
 namespace teaseljunction {
@@ -69,11 +70,7 @@
   if (record->version == accounts_version_) return;
   const auto decoded = Capture<manifest>([&] { return DecodeManifest(record->content); });
   if (decoded.index() != 0) return;
-  std::vector<account_rate> rates;
-  for (const client_account& account : std::get<manifest>(decoded).client_accounts) {
-    rates.push_back({account.name, account.rate, account.burst});
-  }
-  shares_.SetAccounts(rates, now);
+  shares_.SetAccounts(AccountRates(std::get<manifest>(decoded)), now);
   accounts_version_ = record->version;
 }
 
--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "daemon/account_rates.h"
 #include "manifest/manifest_codec.h"
 
 namespace teaseljunction {
@@ -35,14 +36,6 @@
   return targets;
 }
 
-std::vector<account_rate> RatesOf(const manifest& source) {
-  std::vector<account_rate> rates;
-  for (const client_account& account : source.client_accounts) {
-    rates.push_back({account.name, account.rate, account.burst});
-  }
-  return rates;
-}
-
 }  // namespace
 
 sync_loop::sync_loop(const sync_ports& ports, const daemon_settings& settings, uint64_t incarnation)
@@ -186,7 +179,7 @@
     return false;
   }
   const auto index = std::make_shared<const manifest_index>(std::get<manifest>(std::move(decoded)));
-  ports_.accounts.SetAccounts(RatesOf(index->Manifest()));
+  ports_.accounts.SetAccounts(AccountRates(index->Manifest()));
   for (const service& listed : index->Manifest().services) {
     ports_.targets.SetRetryRatio(listed.name, listed.retry_ratio);
   }
--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -80,7 +80,9 @@
   bool claim_held_ = false;
   // True once an attempt ended in a way that does not exclude that the target ran the request.
   bool may_have_run_ = false;
-  // Kept to be passed on when a retry after a failure response is not possible.
+  // Outcome of the last attempt, reported when no further one is possible: its error, or the whole
+  // answer of a target that failed.
+  absl::optional<error> last_failure_;
   absl::optional<call_answer> failure_answer_;
   absl::Duration last_service_time_;
 
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -115,7 +115,7 @@
   if (CallerGone()) return Refuse({error_kind::kCancelled, ""});
   if (now >= resolved_.deadline) return Refuse({error_kind::kDeadlineTooShort, ""});
   const auto target = ports_.targets.Choose(resolved_.request, tried_, now);
-  if (!target) return Refuse({error_kind::kNoTarget, ""});
+  if (!target) return Refuse(last_failure_.value_or(error{error_kind::kNoTarget, ""}));
   const auto handed_on = budget_.TakeForDispatch();
   if (!handed_on) return Refuse({error_kind::kAttemptsExhausted, ""});
   ++attempts_;
@@ -177,6 +177,7 @@
   if (AnswerFor(failure.kind).run == run_state::kMayHaveRun) may_have_run_ = true;
   const absl::Time now = ports_.clock.Now();
   if (failure.kind == error_kind::kTargetCrashed) ++crashes_;
+  last_failure_ = failure;
   absl::optional<absl::Duration> retry_delay;
   if (!CallerGone()) {
     retry_delay =
@@ -197,7 +198,6 @@
     ports_.timers.RunAt(now + *retry_delay, [self = shared_from_this()] { self->Dispatch(); });
     return;
   }
-  if (failure_answer_) return Answer(std::move(*failure_answer_));
   Refuse(failure);
 }
 
@@ -225,6 +225,7 @@
 }
 
 void entry_call::Refuse(const error& failure, absl::optional<absl::Duration> retry_after) {
+  if (failure_answer_) return Answer(std::move(*failure_answer_));
   error reported = failure;
   // A refusal of a later attempt must not hide that an earlier one may have run.
   if (may_have_run_ && AnswerFor(failure.kind).run == run_state::kNotRun) {
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -139,6 +139,35 @@
   CHECK(fixture.peers.attempts.size() <= 3);
 }
 
+// Guards against a refusal that hides the target's whole answer, or the reason of the last attempt,
+// when no target is left for a retry.
+TEST_CASE("the last outcome is reported when no further attempt is possible") {
+  entry_fixture fixture;
+  const auto failed = fixture.Send({"GET", "/stock/1", {}, ""});
+  while (failed->responses == 0) {
+    execute_result executed;
+    executed.answer = call_answer{500, {}, "broken"};
+    executed.target_failed = true;
+    fixture.peers.attempts.back().done(std::move(executed));
+    fixture.time.AdvanceBy(absl::Seconds(1));
+  }
+  CHECK(failed->last.status == 500);
+  CHECK(failed->last.body == "broken");
+
+  fixture.targets.SetTargets(std::vector<balancer_target>{{.daemon_id = "stock0",
+                                                           .service = "stock",
+                                                           .address = "stock0",
+                                                           .data_centre = "dc1",
+                                                           .incarnation = 1,
+                                                           .slots = 10}},
+                             fixture.time.Now());
+  fixture.Refill();
+  const auto refused = fixture.Send({"GET", "/stock/2", {}, ""});
+  fixture.peers.FailLast(error_kind::kTargetShed);
+  fixture.time.AdvanceBy(absl::Seconds(1));
+  CHECK(refused->last.body.find("target-shed") != std::string::npos);
+}
+
 // Guards against work for a caller that has gone, and against a cancelled order whose answer would
 // be lost for its repeat.
 TEST_CASE("a disconnect cancels a lookup but not a claimed order") {
