--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -7,7 +7,6 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/reflection.h"
-#include "absl/flags/usage.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -160,14 +159,13 @@
 }  // namespace
 
 result<daemon_settings> ReadSettings(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
-      "The daemon of teaseljunction. One runs beside each target; with --control it is also a "
-      "member of the control group. Each flag can also be set by an environment variable, for "
-      "example TEASELJUNCTION_DATA_CENTRE.");
   // The command line is parsed after the environment, so that a given flag wins.
   BOOST_LEAF_CHECK(ApplyEnvironment());
   const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
-  BOOST_LEAF_CHECK(Require(rest.size() == 1, "", "unexpected argument on the command line."));
+  if (rest.size() > 1) {
+    return Fail(error_kind::kSettingInvalid,
+                absl::StrCat("unexpected argument '", rest[1], "' on the command line."));
+  }
   daemon_settings settings = FromFlags();
   BOOST_LEAF_CHECK(Check(settings));
   return settings;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,6 +3,9 @@
 #include <iostream>
 #include <thread>
 
+#include "absl/flags/usage.h"
+#include "absl/flags/usage_config.h"
+#include "absl/strings/match.h"
 #include "absl/synchronization/mutex.h"
 #include "common/log.h"
 #include "daemon/daemon.h"
@@ -57,6 +60,16 @@
   // expensive.
   absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   using namespace teaseljunction;  // NOLINT(google-build-using-namespace)
+  absl::SetProgramUsageMessage(
+      "The daemon of teaseljunction. One runs beside each target; with --control it is also a "
+      "member of the control group. Each flag can also be set by an environment variable, for "
+      "example TEASELJUNCTION_DATA_CENTRE.");
+  // The flags are defined in the module, while --help shows only those of this file by default.
+  absl::FlagsUsageConfig usage;
+  usage.contains_help_flags = [](absl::string_view file) {
+    return absl::StrContains(file, "daemon/internal/settings");
+  };
+  absl::SetFlagsUsageConfig(usage);
   auto settings = Capture<daemon_settings>([&] { return ReadSettings(argc, argv); });
   if (const auto* failure = std::get_if<error>(&settings)) {
     std::cerr << "teaseljunctiond: " << failure->detail << "\n";
--- /dev/null
+++ b/src/daemon/tests/settings_test.cc
@@ -0,0 +1,68 @@
+#include "daemon/settings.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+namespace teaseljunction {
+namespace {
+
+// Reads settings from valid flags and then `extra`; the last value of a flag counts.
+outcome<daemon_settings> Read(std::vector<std::string> extra) {
+  std::vector<std::string> texts = {"teaseljunctiond",       "--listen=127.0.0.1:8080",
+                                    "--data_centre=dc1",     "--daemon_id=d1",
+                                    "--control=false",       "--data_dir=",
+                                    "--freshness_lease=5s",  "--http_threads=2",
+                                    "--max_body_bytes=1000", "--control_peers=127.0.0.1:8082"};
+  texts.insert(texts.end(), extra.begin(), extra.end());
+  std::vector<char*> arguments;
+  for (std::string& text : texts) arguments.push_back(text.data());
+  return Capture<daemon_settings>(
+      [&] { return ReadSettings(static_cast<int>(arguments.size()), arguments.data()); });
+}
+
+}  // namespace
+
+// Guards against a wrong setting that is found only when it is used, or whose message does not name
+// it.
+TEST_CASE("a wrong setting is refused with its name") {
+  struct setting_case {
+    std::string flag;
+    std::string name;
+  };
+  const std::vector<setting_case> cases = {
+      {"--listen=localhost:80", "--listen"},
+      {"--listen=127.0.0.1", "--listen"},
+      {"--listen=127.0.0.1:70000", "--listen"},
+      {"--control_peers=", "--control_peers"},
+      {"--control_peers=127.0.0.1:1,x", "--control_peers"},
+      {"--data_centre=", "--data_centre"},
+      {"--daemon_id=a b", "--daemon_id"},
+      {"--control=true", "--data_dir"},
+      {"--freshness_lease=1h", "--freshness_lease"},
+      {"--http_threads=0", "--http_threads"},
+      {"--max_body_bytes=0", "--max_body_bytes"},
+      {"unexpected", "unexpected argument"},
+  };
+  REQUIRE(Read({}).index() == 0);
+  for (const setting_case& row : cases) {
+    INFO(row.flag);
+    const auto read = Read({row.flag});
+    REQUIRE(read.index() == 1);
+    CHECK(std::get<error>(read).kind == error_kind::kSettingInvalid);
+    CHECK(std::get<error>(read).detail.find(row.name) != std::string::npos);
+  }
+}
+
+// Guards against an environment variable that is ignored, or that replaces a given flag.
+TEST_CASE("the environment sets what the command line does not") {
+  setenv("TEASELJUNCTION_TOKEN_WAIT", "70ms", 1);
+  setenv("TEASELJUNCTION_DAEMON_ID", "from-environment", 1);
+  const auto read = Read({});
+  unsetenv("TEASELJUNCTION_TOKEN_WAIT");
+  unsetenv("TEASELJUNCTION_DAEMON_ID");
+  REQUIRE(read.index() == 0);
+  CHECK(std::get<daemon_settings>(read).token_wait == absl::Milliseconds(70));
+  CHECK(std::get<daemon_settings>(read).daemon_id == "d1");
+}
+
+}  // namespace teaseljunction
