Compute the shard of a client account in one place

Cause: the shard of an account was computed in three expressions that had to stay the same, or tokens would be kept where nobody looks for them; the replay passed a parameter that was not used. Change: account_limiter::ShardIndex serves all three; the parameter is gone. No change of behaviour.

--- a/src/bench/internal/replay.cc
+++ b/src/bench/internal/replay.cc
@@ -108,7 +108,7 @@
   void BeginHop(std::shared_ptr<hop_state> hop);
   void Dispatch(std::shared_ptr<hop_state> hop);
   void ArriveAtTarget(std::shared_ptr<attempt_state> attempt);
-  void Apply(int daemon, const admission_decision& decision);
+  void Apply(const admission_decision& decision);
   void Poll(int daemon);
   void StartAtTarget(std::shared_ptr<attempt_state> attempt);
   void Work(std::shared_ptr<attempt_state> attempt);
@@ -413,8 +413,7 @@
   }
   const hop_state& hop = *attempt->hop;
   at_target_[attempt->call_id] = attempt;
-  Apply(attempt->target,
-        daemon.gate->Arrive({.call_id = attempt->call_id,
+  Apply(daemon.gate->Arrive({.call_id = attempt->call_id,
                              .priority = RouteOf(hop).priority,
                              .cohort = CohortOfHop(hop),
                              .depth = static_cast<uint32_t>(hop.step),
@@ -425,7 +424,7 @@
   Poll(attempt->target);
 }
 
-void replay_engine::Apply(int, const admission_decision& decision) {
+void replay_engine::Apply(const admission_decision& decision) {
   const auto found = at_target_.find(decision.call_id);
   if (found == at_target_.end() || decision.verdict == admission_verdict::kQueued) return;
   const std::shared_ptr<attempt_state> attempt = found->second;
@@ -437,7 +436,7 @@
 void replay_engine::Poll(int daemon) {
   daemon_state& own = daemons_[daemon];
   for (const admission_decision& decision : own.gate->Poll(events_.Now())) {
-    Apply(daemon, decision);
+    Apply(decision);
   }
   const absl::Time next = own.gate->NextPoll(events_.Now());
   if (next == absl::InfiniteFuture() || next >= own.armed_for) return;
--- a/src/gateway/account_limiter.h
+++ b/src/gateway/account_limiter.h
@@ -65,6 +65,7 @@
     token_result outcome;
   };
 
+  static size_t ShardIndex(absl::string_view client_account);
   shard& ShardOf(absl::string_view client_account);
   void Expire(shard& owner, const std::string& client_account, uint64_t waiter_id);
   static void TakeReady(shard& owner, const token_grant& grant, absl::Time now,
--- a/src/gateway/internal/account_limiter.cc
+++ b/src/gateway/internal/account_limiter.cc
@@ -11,16 +11,19 @@
                                  absl::Duration max_wait, absl::AnyInvocable<void()> request_sync)
     : clock_(clock), timers_(timers), max_wait_(max_wait), request_sync_(std::move(request_sync)) {}
 
+size_t account_limiter::ShardIndex(absl::string_view client_account) {
+  return absl::HashOf(client_account) % kShardCount;
+}
+
 account_limiter::shard& account_limiter::ShardOf(absl::string_view client_account) {
-  return shards_[absl::HashOf(client_account) % kShardCount];
+  return shards_[ShardIndex(client_account)];
 }
 
 void account_limiter::SetAccounts(absl::Span<const account_rate> accounts) {
   const absl::Time now = clock_.Now();
   std::array<std::vector<account_rate>, kShardCount> per_shard;
   for (const account_rate& account : accounts) {
-    per_shard[absl::HashOf(absl::string_view(account.client_account)) % kShardCount].push_back(
-        account);
+    per_shard[ShardIndex(account.client_account)].push_back(account);
   }
   for (size_t i = 0; i < kShardCount; ++i) {
     absl::MutexLock lock(&shards_[i].mutex);
@@ -97,7 +100,7 @@
   // A holder takes the grants of one response in one call and ignores repeated responses.
   std::array<std::vector<token_grant>, kShardCount> per_shard;
   for (const token_grant& grant : grants) {
-    per_shard[absl::HashOf(absl::string_view(grant.client_account)) % kShardCount].push_back(grant);
+    per_shard[ShardIndex(grant.client_account)].push_back(grant);
   }
   std::vector<finished_wait> finished;
   bool urgent = false;
