--- a/cmake/teaseljunction_module.cmake
+++ b/cmake/teaseljunction_module.cmake
@@ -1,12 +1,13 @@
 # Declares the library of one module.
 #   teaseljunction_module(NAME SOURCES file... [DEPS target...])
 # The library is called teaseljunction_NAME and its include root is src/.
+# GCC 12 reports uninitialised variants falsely, so that warning is off.
 function(teaseljunction_module name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_library(teaseljunction_${name} STATIC ${ARG_SOURCES})
   target_include_directories(teaseljunction_${name} PUBLIC
     $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src>)
-  target_compile_options(teaseljunction_${name} PRIVATE -Wall -Wextra -Wold-style-cast -Wno-missing-field-initializers -Werror)
+  target_compile_options(teaseljunction_${name} PRIVATE -Wall -Wextra -Wold-style-cast -Wno-missing-field-initializers -Wno-maybe-uninitialized -Werror)
   target_link_libraries(teaseljunction_${name} PUBLIC ${ARG_DEPS} Threads::Threads)
 endfunction()
 
@@ -18,7 +19,7 @@
   endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${name}_test ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/src/common/tests/test_main.cc)
-  target_compile_options(${name}_test PRIVATE -Wall -Wextra -Wold-style-cast -Wno-missing-field-initializers -Werror)
+  target_compile_options(${name}_test PRIVATE -Wall -Wextra -Wold-style-cast -Wno-missing-field-initializers -Wno-maybe-uninitialized -Werror)
   target_link_libraries(${name}_test PRIVATE teaseljunction_${name} ${ARG_DEPS})
   add_test(NAME ${name} COMMAND ${name}_test)
 endfunction()
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -26,6 +26,7 @@
   size_t max_queue_bytes = size_t{16} << 20;
   absl::Duration queue_delay_target = absl::Milliseconds(5);
   absl::Duration queue_interval = absl::Milliseconds(100);
+  bool fixed_limit = false;
 };
 
 /// Decides for one target which calls start, wait or are refused.
@@ -149,6 +150,10 @@
   /// Sets for how long the queue time has to stay above the target value. Default 100 ms.
   admission_controller_builder& SetQueueInterval(absl::Duration interval);
 
+  /// With true, the slots are the limit. For targets whose calls wait for calls of their own: their
+  /// service time says nothing about their congestion. Default false.
+  admission_controller_builder& SetFixedLimit(bool fixed);
+
   /// Returns a controller without a target. `SetSlots` gives it one.
   admission_controller Build() const;
 
--- a/src/admission/internal/admission_controller.cc
+++ b/src/admission/internal/admission_controller.cc
@@ -33,7 +33,9 @@
 admission_controller::admission_controller(admission_controller&&) noexcept = default;
 admission_controller& admission_controller::operator=(admission_controller&&) noexcept = default;
 
-uint32_t admission_controller::Limit() const { return limit_->Get(); }
+uint32_t admission_controller::Limit() const {
+  return settings_.fixed_limit ? slots_ : limit_->Get();
+}
 
 size_t admission_controller::Queued() const { return queue_->Size(); }
 
--- a/src/admission/internal/admission_controller_builder.cc
+++ b/src/admission/internal/admission_controller_builder.cc
@@ -24,6 +24,11 @@
   return *this;
 }
 
+admission_controller_builder& admission_controller_builder::SetFixedLimit(bool fixed) {
+  settings_.fixed_limit = fixed;
+  return *this;
+}
+
 admission_controller admission_controller_builder::Build() const {
   return admission_controller(settings_);
 }
--- a/src/balancer/internal/retry_budget.cc
+++ b/src/balancer/internal/retry_budget.cc
@@ -5,8 +5,8 @@
 namespace teaseljunction {
 namespace {
 
-constexpr double kReservePerSecond = 3;
-constexpr double kReserveLimit = 3;
+// Time for which an unused reserve is kept.
+constexpr double kReserveSeconds = 1;
 
 }  // namespace
 
@@ -22,8 +22,10 @@
   return current;
 }
 
-void retry_budget::SetRatio(absl::string_view service, double ratio) {
-  BudgetOf(service).ratio = std::clamp(ratio, 0.0, 1.0);
+void retry_budget::SetBudget(absl::string_view service, double ratio, double reserve_per_second) {
+  service_budget& budget = BudgetOf(service);
+  budget.ratio = std::clamp(ratio, 0.0, 1.0);
+  budget.reserve_per_second = std::max(reserve_per_second, 0.0);
 }
 
 void retry_budget::RecordAttempt(absl::string_view service, absl::Time now) {
@@ -46,7 +48,8 @@
 
 bool retry_budget::TryReserve(service_budget& budget, absl::Time now) {
   const double elapsed = std::max(0.0, absl::ToDoubleSeconds(now - budget.reserve_updated));
-  budget.reserve = std::min(kReserveLimit, budget.reserve + elapsed * kReservePerSecond);
+  const double limit = budget.reserve_per_second * kReserveSeconds;
+  budget.reserve = std::min(limit, budget.reserve + elapsed * budget.reserve_per_second);
   budget.reserve_updated = std::max(budget.reserve_updated, now);
   if (budget.reserve < 1) return false;
   budget.reserve -= 1;
--- a/src/balancer/internal/retry_policy.cc
+++ b/src/balancer/internal/retry_policy.cc
@@ -8,8 +8,9 @@
 
 constexpr absl::Duration kBaseDelay = absl::Milliseconds(5);
 constexpr absl::Duration kMaxDelay = absl::Milliseconds(100);
-/// Longest estimate that a caller is told, in seconds.
-constexpr double kLongestEstimate = 3600;
+/// Estimates that a caller is told.
+constexpr absl::Duration kShortestEstimate = absl::Milliseconds(10);
+constexpr absl::Duration kLongestEstimate = absl::Hours(1);
 
 // Full jitter over an upper bound that doubles with each attempt.
 absl::Duration DelayAfter(uint32_t attempts_made, random_source& random) {
@@ -26,21 +27,27 @@
   return attempt.crashes <= this_crash;
 }
 
+// Kinds after which no target has received the call, so that another attempt adds no load to one.
+bool NeverArrived(error_kind kind) {
+  return kind == error_kind::kDraining || kind == error_kind::kPeerUnreachable ||
+         kind == error_kind::kTargetUnreachable;
+}
+
 }  // namespace
 
 absl::optional<absl::Duration> DecideRetry(const failed_attempt& attempt, retry_budget& budget,
                                            random_source& random, absl::Time now) {
-  if (attempt.attempts_made >= kMaxAttemptsPerHop) return absl::nullopt;
+  if (attempt.attempts_made >= std::min(attempt.max_attempts, kMaxAttemptsPerHop)) return absl::nullopt;
   if (!MayRunAgain(attempt)) return absl::nullopt;
   const absl::Duration delay = DelayAfter(attempt.attempts_made, random);
   if (delay >= attempt.time_left) return absl::nullopt;
-  if (!budget.TryRetry(attempt.service, now)) return absl::nullopt;
+  if (!NeverArrived(attempt.kind) && !budget.TryRetry(attempt.service, now)) return absl::nullopt;
   return delay;
 }
 
-uint32_t RetryAfterSeconds(absl::Duration estimate, random_source& random) {
-  const double base = std::clamp(absl::ToDoubleSeconds(estimate), 1.0, kLongestEstimate);
-  return static_cast<uint32_t>(std::lround(base * (1 + random.Fraction())));
+absl::Duration RetryAfterDelay(absl::Duration estimate, random_source& random) {
+  const absl::Duration base = std::clamp(estimate, kShortestEstimate, kLongestEstimate);
+  return base * (1 + random.Fraction());
 }
 
 }  // namespace teaseljunction
--- a/src/balancer/retry_budget.h
+++ b/src/balancer/retry_budget.h
@@ -14,8 +14,9 @@
 /// ratio * (first attempts in the window and the 10 s before it) + 3 * (w in seconds) + 3.
 class retry_budget {
  public:
-  /// Sets the retries of a service as a share of its first attempts, 0 to 1. Default 0.1.
-  void SetRatio(absl::string_view service, double ratio);
+  /// Sets the retries of a service as a share of its first attempts, 0 to 1, and the retries per
+  /// second that it may get beside them. Defaults 0.1 and 3.
+  void SetBudget(absl::string_view service, double ratio, double reserve_per_second);
 
   /// Counts a first attempt of a call to the service.
   void RecordAttempt(absl::string_view service, absl::Time now);
@@ -35,6 +36,7 @@
 
   struct service_budget {
     double ratio = 0.1;
+    double reserve_per_second = 3;
     std::array<slot, kSlotCount> slots;
     /// Allowance that does not depend on traffic.
     double reserve = 0;
--- a/src/balancer/retry_policy.h
+++ b/src/balancer/retry_policy.h
@@ -27,6 +27,8 @@
   uint32_t crashes = 0;
   /// Time until the deadline of the call.
   absl::Duration time_left;
+  /// Attempts that the call may make at this hop.
+  uint32_t max_attempts = kMaxAttemptsPerHop;
 };
 
 /// Decides whether a call is tried again. Returns the delay before the next attempt, or nothing
@@ -36,8 +38,8 @@
 absl::optional<absl::Duration> DecideRetry(const failed_attempt& attempt, retry_budget& budget,
                                            random_source& random, absl::Time now);
 
-/// Returns the Retry-After value for a caller in seconds: a random number between `estimate` and
-/// twice the estimate, so that refused callers do not return at the same time. At least 1.
-uint32_t RetryAfterSeconds(absl::Duration estimate, random_source& random);
+/// Returns the Retry-After value for a caller: a random time between `estimate` and twice the
+/// estimate, so that refused callers do not return at the same time.
+absl::Duration RetryAfterDelay(absl::Duration estimate, random_source& random);
 
 }  // namespace teaseljunction
--- a/src/balancer/tests/budget_test.cc
+++ b/src/balancer/tests/budget_test.cc
@@ -94,7 +94,7 @@
 TEST_CASE("retries stay within the budget of their service") {
   for (const double rate : {1.0, 100.0, 5000.0}) {
     retry_budget budget;
-    budget.SetRatio("stock", 0.2);
+    budget.SetBudget("stock", 0.2, 3);
     absl::Time now = absl::FromUnixSeconds(1000);
     const double attempts = 60 * rate;
     double retries = 0;
@@ -172,13 +172,15 @@
 // Guards against refused callers that all come back in the same second.
 TEST_CASE("Retry-After values are spread") {
   seeded_random random(1);
-  std::set<uint32_t> values;
-  for (int i = 0; i < 1000; ++i) values.insert(RetryAfterSeconds(absl::Seconds(8), random));
-  CHECK(*values.begin() == 8);
-  CHECK(*values.rbegin() == 16);
-  CHECK(values.size() == 9);
-  CHECK(RetryAfterSeconds(absl::ZeroDuration(), random) >= 1);
-  CHECK(RetryAfterSeconds(absl::InfiniteDuration(), random) <= 7200);
+  std::set<absl::Duration> values;
+  for (int i = 0; i < 1000; ++i) values.insert(RetryAfterDelay(absl::Seconds(8), random));
+  CHECK(*values.begin() >= absl::Seconds(8));
+  CHECK(*values.begin() < absl::Seconds(8.1));
+  CHECK(*values.rbegin() <= absl::Seconds(16));
+  CHECK(*values.rbegin() > absl::Seconds(15.9));
+  CHECK(values.size() > 900);
+  CHECK(RetryAfterDelay(absl::ZeroDuration(), random) > absl::ZeroDuration());
+  CHECK(RetryAfterDelay(absl::InfiniteDuration(), random) <= absl::Hours(2));
 }
 
 }  // namespace teaseljunction
--- a/src/common/internal/log.cc
+++ b/src/common/internal/log.cc
@@ -1,6 +1,43 @@
 #include "common/log.h"
 
+#include <unistd.h>
+
+#include <memory>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "common/log_writer.h"
+
 namespace teaseljunction {
+namespace {
+
+constexpr char kTimeFormat[] = "%Y-%m-%dT%H:%M:%E3S";
+
+// Never destroyed, because threads may write until the process ends.
+std::unique_ptr<log_writer>& Writer() {
+  static auto* writer = new std::unique_ptr<log_writer>();
+  return *writer;
+}
+
+/// Passes the lines of easylogging++ to the writer.
+class writer_callback : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {  // NOLINT(readability-identifier-naming)
+    const el::LogMessage& message = *data->logMessage();
+    if (data->dispatchAction() != el::base::DispatchAction::NormalLog) return;
+    WriteLogLine(absl::StrCat(el::LevelHelper::convertToString(message.level()), " ",
+                              message.message()));
+  }
+};
+
+void UseWriter() {
+  if (Writer() == nullptr) Writer() = std::make_unique<log_writer>(STDOUT_FILENO);
+  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+      "DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<writer_callback>("teaseljunction");
+}
+
+}  // namespace
 
 bool ConfigureLog(const log_settings& settings) {
   el::Configurations configuration;
@@ -9,8 +46,7 @@
                             "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
   configuration.setGlobally(el::ConfigurationType::ToFile,
                             settings.file.empty() ? "false" : "true");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput,
-                            settings.file.empty() ? "true" : "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   if (!settings.file.empty()) {
     configuration.setGlobally(el::ConfigurationType::Filename, settings.file);
   }
@@ -23,7 +59,20 @@
   configuration.set(el::Level::Warning, el::ConfigurationType::Enabled,
                     level == "error" ? "false" : "true");
   el::Loggers::reconfigureAllLoggers(configuration);
+  if (settings.file.empty()) UseWriter();
   return true;
 }
 
+void WriteLogLine(absl::string_view line) {
+  if (Writer() == nullptr) {
+    // The log goes to a file, or was not configured.
+    LOG(INFO) << line;
+    return;
+  }
+  Writer()->Write(
+      absl::StrCat(absl::FormatTime(kTimeFormat, absl::Now(), absl::UTCTimeZone()), " ", line));
+}
+
+uint64_t LogLinesLeftOut() { return Writer() == nullptr ? 0 : Writer()->LeftOut(); }
+
 }  // namespace teaseljunction
--- a/src/gateway/scheduler.h
+++ b/src/common/scheduler.h
@@ -7,7 +7,8 @@
 
 namespace teaseljunction {
 
-/// Port for delayed work. Thread-safe; tasks run on another thread and must not block.
+/// Port for delayed work. Thread-safe; tasks run on a thread of the implementation and must not
+/// block.
 class scheduler {
  public:
   virtual ~scheduler() = default;
--- a/src/common/types.h
+++ b/src/common/types.h
@@ -81,6 +81,8 @@
   std::string identity;
   /// Digest of account, method, path and body, used to recognise requests that crash targets.
   std::string fingerprint;
+  /// True when the client account has a rate. Known at the entry daemon only.
+  bool limited = true;
 };
 
 /// The answer of a target.
--- a/src/control/control.capnp
+++ b/src/control/control.capnp
@@ -39,6 +39,9 @@
     version @0 :UInt64;
     digest @1 :Data;
     content @2 :Data;
+    # Set when the submission names the version that it replaces.
+    hasBase @3 :Bool;
+    base @4 :UInt64;
   }
 
   struct Claim {
@@ -139,6 +142,8 @@
   answers @2 :List(AnswerEntry);
   quarantined @3 :List(Data);
   answerBytes @4 :UInt64;
+  # Digests of the manifests that were accepted last, oldest first.
+  acceptedDigests @5 :List(Data);
 
   struct ClaimEntry {
     identityHigh @0 :UInt64;
--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -146,6 +146,8 @@
   uint64_t snapshot_bytes = 8 * 1024 * 1024;
   /// Records kept in memory after a snapshot, so that a short absence of a member needs none.
   uint64_t kept_records = 1000;
+  /// Voters that must have stored a record before it is committed, beside the majority.
+  uint64_t min_copies = 1;
   replicated_state_limits limits;
 };
 
--- a/src/control/internal/command_codec.cc
+++ b/src/control/internal/command_codec.cc
@@ -36,6 +36,8 @@
   manifest.setVersion(value.version);
   manifest.setDigest(ToData(value.digest));
   manifest.setContent(ToData(value.content));
+  manifest.setHasBase(value.base.has_value());
+  manifest.setBase(value.base.value_or(0));
 }
 
 void Write(const claim& value, Command::Builder out) {
@@ -79,7 +81,9 @@
 }
 
 submit_manifest ReadManifest(Command::SubmitManifest::Reader in) {
-  return {in.getVersion(), FromData(in.getDigest()), FromData(in.getContent())};
+  submit_manifest value{in.getVersion(), FromData(in.getDigest()), FromData(in.getContent()), {}};
+  if (in.getHasBase()) value.base = in.getBase();
+  return value;
 }
 
 claim ReadClaim(Command::Claim::Reader in) {
--- a/src/control/internal/member_core.cc
+++ b/src/control/internal/member_core.cc
@@ -73,6 +73,7 @@
   const absl::optional<log_snapshot> snapshot = stored.snapshot;
   raft_settings settings;
   settings.kept_records = settings_.kept_records;
+  settings.min_copies = settings_.min_copies;
   replica_.emplace(settings, std::move(stored), settings_.address, random_, now);
   if (snapshot) Restore(*snapshot);
 }
--- a/src/control/internal/raft_replication.cc
+++ b/src/control/internal/raft_replication.cc
@@ -216,7 +216,8 @@
   }
   if (matches.empty()) return;
   std::sort(matches.begin(), matches.end(), std::greater<>());
-  const uint64_t index = matches[matches.size() / 2];
+  const uint64_t copies = std::min<uint64_t>(settings_.min_copies, matches.size());
+  const uint64_t index = matches[std::max<uint64_t>(matches.size() / 2, copies - 1)];
   // Records of earlier terms are committed only together with one of this term.
   if (index <= commit_index_ || log_.TermAt(index) != state_.term) return;
   commit_index_ = index;
--- a/src/control/internal/replicated_state.cc
+++ b/src/control/internal/replicated_state.cc
@@ -77,10 +77,33 @@
   return Refused(error_kind::kMalformedRequest, "A membership change is not a command record.");
 }
 
+command_result replicated_state::CheckBase(const submit_manifest& command) const {
+  if (accepted_set_.contains(command.digest)) {
+    command_result repeated = Applied();
+    repeated.already_accepted = true;
+    return repeated;
+  }
+  if (*command.base != manifest_->version) return Refused(error_kind::kManifestConflict);
+  if (command.version <= manifest_->version) return Refused(error_kind::kManifestOutdated);
+  return Applied();
+}
+
+void replicated_state::RememberAccepted(std::string digest) {
+  if (!accepted_set_.insert(digest).second) return;
+  accepted_.push_back(std::move(digest));
+  if (accepted_.size() <= limits_.accepted_manifests) return;
+  accepted_set_.erase(accepted_.front());
+  accepted_.pop_front();
+}
+
 command_result replicated_state::ApplyCommand(submit_manifest& command) {
   if (command.version == 0) {
     return Refused(error_kind::kManifestInvalid, "The version must be above 0.");
   }
+  if (command.base) {
+    command_result checked = CheckBase(command);
+    if (!checked.applied || checked.already_accepted) return checked;
+  }
   if (command.version < manifest_->version) return Refused(error_kind::kManifestOutdated);
   if (command.version == manifest_->version) {
     if (command.digest != manifest_->digest) return Refused(error_kind::kManifestConflict);
@@ -88,6 +111,7 @@
     repeated.already_accepted = true;
     return repeated;
   }
+  RememberAccepted(command.digest);
   manifest_ = std::make_shared<const manifest_record>(
       manifest_record{command.version, std::move(command.digest), std::move(command.content)});
   return Applied();
--- a/src/control/internal/state_codec.cc
+++ b/src/control/internal/state_codec.cc
@@ -22,6 +22,8 @@
     for (unsigned i = 0; i < quarantined.size(); ++i) {
       quarantined.set(i, ToData(state.quarantined_[i]));
     }
+    auto accepted = out.initAcceptedDigests(static_cast<unsigned>(state.accepted_.size()));
+    for (unsigned i = 0; i < accepted.size(); ++i) accepted.set(i, ToData(state.accepted_[i]));
     WriteAnswers(state, WriteClaims(state, out), out);
     return Flatten(message);
   }
@@ -34,6 +36,7 @@
       state.quarantined_.push_back(FromData(fingerprint));
       state.quarantined_set_.insert(state.quarantined_.back());
     }
+    for (const auto digest : in.getAcceptedDigests()) state.RememberAccepted(FromData(digest));
     for (const auto claim : in.getClaims()) ReadClaim(claim, state);
     for (const auto answer : in.getAnswers()) {
       if (answer.getClaim() >= state.expiry_queue_.size()) {
--- a/src/control/raft_replica.h
+++ b/src/control/raft_replica.h
@@ -34,6 +34,9 @@
   uint64_t uncommitted_records = 20'000;
   /// Records kept in memory after a snapshot, so that a short absence needs no snapshot.
   uint64_t kept_records = 1000;
+  /// Voters that must have stored a record before it is committed, beside the majority. Bounds the
+  /// data folders that may be lost at once. All voters when there are fewer.
+  uint64_t min_copies = 1;
   /// A learner may be promoted when it is at most this many records behind.
   uint64_t promotion_lag = 64;
 };
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -30,6 +30,8 @@
   uint64_t total_answer_bytes = 32 * 1024 * 1024;
   /// Fingerprints in the quarantine list. New ones are refused (kOverloaded) above it.
   uint64_t quarantined = 10'000;
+  /// Accepted manifests that are recognised when they are submitted again.
+  uint64_t accepted_manifests = 4'096;
 };
 
 /// The state that every control member derives from the committed records. Two members that have
@@ -97,6 +99,8 @@
   template <class Change>
   command_result ApplyCommand(Change&);
 
+  command_result CheckBase(const submit_manifest& command) const;
+  void RememberAccepted(std::string digest);
   command_result GrantClaim(const digest128& identity, const claim& command);
   claim_entry* FindAttempt(const std::string& account, const std::string& identity,
                            const std::string& attempt);
@@ -119,6 +123,9 @@
   std::deque<queue_entry> answer_queue_;
   uint64_t next_sequence_ = 1;
   uint64_t answer_bytes_ = 0;
+  // Digests of the manifests that were accepted last, oldest first.
+  std::deque<std::string> accepted_;
+  absl::flat_hash_set<std::string> accepted_set_;
   std::vector<std::string> quarantined_;
   absl::flat_hash_set<std::string> quarantined_set_;
   group_configuration configuration_;
--- a/src/control/types.h
+++ b/src/control/types.h
@@ -7,16 +7,20 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "common/error_kind.h"
 #include "common/types.h"
 
 namespace teaseljunction {
 
-/// Puts a manifest in force. `digest` covers `content`, which is the canonical JSON text.
+/// Puts a manifest in force. `digest` covers `content`, the text in the format of the deployment.
 struct submit_manifest {
   uint64_t version = 0;
   std::string digest;
   std::string content;
+  /// Version that this one is meant to replace. When it is set, another version in force is a
+  /// conflict, and a manifest that was accepted before is acknowledged again.
+  absl::optional<uint64_t> base;
 };
 
 /// Registers a non-idempotent request before it is dispatched.
--- a/src/daemon/account_rates.h
+++ b/src/daemon/account_rates.h
@@ -7,11 +7,11 @@
 
 namespace teaseljunction {
 
-/// Returns the rate limits of all client accounts of a manifest.
+/// Returns the rate limits of the client accounts of a manifest that have one.
 inline std::vector<account_rate> AccountRates(const manifest& source) {
   std::vector<account_rate> rates;
   for (const client_account& account : source.client_accounts) {
-    rates.push_back({account.name, account.rate, account.burst});
+    if (account.rate > 0) rates.push_back({account.name, account.rate, account.burst});
   }
   return rates;
 }
--- a/src/daemon/internal/leader_client.cc
+++ b/src/daemon/internal/leader_client.cc
@@ -23,9 +23,29 @@
 
 }  // namespace
 
+void leader_locator::SetSeeds(std::vector<std::string> seeds) {
+  absl::MutexLock lock(&mutex_);
+  seeds_ = std::move(seeds);
+}
+
+void leader_locator::SetMembers(const std::vector<std::string>& members) {
+  absl::MutexLock lock(&mutex_);
+  members_ = members;
+}
+
+std::vector<std::string> leader_locator::Known() const {
+  std::vector<std::string> known = members_;
+  for (const std::string& seed : seeds_) {
+    if (std::find(known.begin(), known.end(), seed) == known.end()) known.push_back(seed);
+  }
+  return known;
+}
+
 std::string leader_locator::Address() const {
   absl::MutexLock lock(&mutex_);
-  return hint_.empty() ? members_[next_ % members_.size()] : hint_;
+  if (!hint_.empty()) return hint_;
+  const std::vector<std::string> known = Known();
+  return known.empty() ? std::string() : known[next_ % known.size()];
 }
 
 void leader_locator::NotLeader(const std::string& address, const std::string& hint) {
--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -4,12 +4,23 @@
 
 #include "common/log.h"
 #include "daemon/account_rates.h"
-#include "manifest/manifest_codec.h"
 
 namespace teaseljunction {
 
-leader_service::leader_service(const clock_source& clock, control_member& member)
-    : clock_(clock), member_(member) {}
+leader_service::leader_service(const clock_source& clock, control_member& member,
+                               peer_client& peers, const manifest_decoder& decode,
+                               const membership_planner_settings& planner)
+    : clock_(clock), member_(member), peers_(peers), decode_(decode), planner_(planner) {}
+
+void leader_service::AnnounceManifest() {
+  if (!member_.IsLeader()) return;
+  std::vector<daemon_announcement> daemons;
+  {
+    absl::MutexLock lock(&directory_mutex_);
+    daemons = directory_.Daemons();
+  }
+  for (const daemon_announcement& daemon : daemons) peers_.Refresh(daemon.address);
+}
 
 // Returns false when the lease is not held at `now`.
 bool leader_service::StartTermIfNew(absl::Time now) {
@@ -30,6 +41,10 @@
     shares_.StartTerm(now);
     accounts_version_ = 0;
   }
+  {
+    absl::MutexLock planner_lock(&planner_mutex_);
+    planner_.StartTerm(now);
+  }
   absl::MutexLock crash_lock(&crash_mutex_);
   crashes_ = crash_tracker();
   return true;
@@ -47,17 +62,21 @@
       manifest->digest != request.manifest_digest) {
     response.manifest = *manifest;
   }
-  response.directory = UpdateDirectory(request, now);
+  response.directory = UpdateDirectory(request, now, response.outdated_by);
   response.grants = Grant(request, now);
   response.suspects = TrackCrashes(request, now);
   response.quarantined = member_.Quarantined(request.quarantine_size);
+  response.control_addresses = PlanMembers(request.daemon, now);
   response.from_leader = true;
   return response;
 }
 
-directory_update leader_service::UpdateDirectory(const sync_request& request, absl::Time now) {
+directory_update leader_service::UpdateDirectory(const sync_request& request, absl::Time now,
+                                                 uint64_t& outdated_by) {
   absl::MutexLock lock(&directory_mutex_);
-  directory_.Heartbeat(request.daemon, now);
+  if (!directory_.Heartbeat(request.daemon, now)) {
+    outdated_by = directory_.KnownIncarnation(request.daemon.daemon_id);
+  }
   const size_t removed = directory_.Expire(now);
   if (removed > 0) {
     LOG(INFO) << "membership: " << removed << " daemons were silent and are removed.";
@@ -65,10 +84,31 @@
   return directory_.Since(request.directory_epoch, request.directory_version);
 }
 
+std::vector<std::string> leader_service::PlanMembers(const daemon_announcement& daemon,
+                                                     absl::Time now) {
+  const control_status status = member_.Status();
+  std::vector<std::string> addresses;
+  for (const member_status& member : status.members) addresses.push_back(member.address);
+  absl::optional<command> change;
+  {
+    absl::MutexLock lock(&planner_mutex_);
+    if (daemon.control_member_id != 0) {
+      planner_.Heard(daemon.control_member_id, daemon.address, daemon.data_centre, now);
+    }
+    change = planner_.Next(status.members, status.member_id, now);
+  }
+  if (change) {
+    member_.Propose(*std::move(change), [](const propose_response& response) {
+      if (response.result.applied) LOG(INFO) << "control: the members of the group have changed.";
+    });
+  }
+  return addresses;
+}
+
 void leader_service::UpdateAccounts(absl::Time now) {
   const auto record = member_.Manifest();
   if (record->version == accounts_version_) return;
-  const auto decoded = Capture<manifest>([&] { return DecodeManifest(record->content); });
+  const auto decoded = Capture<manifest>([&] { return decode_(record->content); });
   if (decoded.index() != 0) return;
   shares_.SetAccounts(AccountRates(std::get<manifest>(decoded)), now);
   accounts_version_ = record->version;
--- a/src/daemon/internal/node.cc
+++ b/src/daemon/internal/node.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "manifest/manifest_codec.h"
 
 namespace teaseljunction {
 
@@ -41,9 +40,16 @@
 manifest_record node::Manifest() {
   const auto index = config_.Latest();
   if (index == nullptr) return {};
-  return {index->Manifest().version, index->Digest(), EncodeManifest(index->Manifest())};
+  return {index->Manifest().version, index->Digest(), index->Content()};
 }
 
+absl::optional<manifest_record> node::AcceptedManifest() {
+  if (member_ == nullptr || !member_->LeaseHeld(clock_.Now())) return absl::nullopt;
+  return *member_->Manifest();
+}
+
+void node::Refresh() { sync_.RequestSync(); }
+
 status_report node::Status() {
   status_report report;
   report.daemon = sync_.Announcement();
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -31,9 +31,18 @@
           "time between announcing a planned shutdown and closing the listeners, 0s to 60s");
 ABSL_FLAG(absl::Duration, drain_timeout, absl::Seconds(30),
           "longest wait for running calls at a planned shutdown, 1s to 600s");
-ABSL_FLAG(uint32_t, http_threads, 2, "threads that serve HTTP, 1 to 64");
-ABSL_FLAG(uint32_t, rpc_threads, 1, "threads that serve and that call other daemons, 1 to 64");
-ABSL_FLAG(uint32_t, client_threads, 1, "threads that call the target, 1 to 64");
+ABSL_FLAG(uint32_t, http_threads, 0,
+          "threads that serve HTTP, 0 to 64; 0 uses the daemon's event loop");
+ABSL_FLAG(uint32_t, rpc_threads, 0,
+          "threads that serve and that call other daemons, 0 to 64; 0 uses the event loop");
+ABSL_FLAG(uint32_t, client_threads, 0,
+          "threads that call the target, 0 to 64; 0 uses the event loop");
+ABSL_FLAG(uint32_t, control_voters, 0,
+          "voters that the control group keeps by itself, 0 to 9; 0 leaves it to operators");
+ABSL_FLAG(uint32_t, durable_copies, 1,
+          "control members that must store a manifest before it is accepted, 1 to 5");
+ABSL_FLAG(absl::Duration, target_lease, absl::Seconds(3),
+          "time for which an announcement of the target is valid, 1s to 60s");
 ABSL_FLAG(uint64_t, max_body_bytes, 1 << 20, "largest body of a request, 1 to 67108864 bytes");
 ABSL_FLAG(std::string, log_file, "", "file for the log; empty for the standard output");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
@@ -43,6 +52,8 @@
 
 constexpr absl::string_view kEnvironmentPrefix = "TEASELJUNCTION_";
 constexpr uint32_t kMaxThreads = 64;
+constexpr uint32_t kMaxVoters = 9;
+constexpr uint32_t kMaxCopies = 5;
 constexpr uint64_t kMaxBodyBytes = 64 << 20;
 constexpr size_t kMaxNameBytes = 64;
 // Flags that can also be set by the environment.
@@ -50,7 +61,8 @@
     "listen",         "operators_listen", "rpc_listen",    "data_centre",     "daemon_id",
     "control",        "data_dir",         "control_peers", "freshness_lease", "token_wait",
     "drain_delay",    "drain_timeout",    "http_threads",  "rpc_threads",     "client_threads",
-    "max_body_bytes", "log_file",         "log_level"};
+    "max_body_bytes", "log_file",         "log_level",     "control_voters",  "durable_copies",
+    "target_lease"};
 
 result<void> ApplyEnvironment() {
   for (const absl::string_view name : kFlagNames) {
@@ -109,7 +121,7 @@
 }
 
 result<void> CheckThreads(uint32_t value, absl::string_view flag) {
-  return Require(value >= 1 && value <= kMaxThreads, flag, "must be from 1 to 64.");
+  return Require(value <= kMaxThreads, flag, "must be from 0 to 64.");
 }
 
 result<void> Check(const daemon_settings& settings) {
@@ -129,6 +141,12 @@
   BOOST_LEAF_CHECK(CheckThreads(settings.http_threads, "http_threads"));
   BOOST_LEAF_CHECK(CheckThreads(settings.rpc_threads, "rpc_threads"));
   BOOST_LEAF_CHECK(CheckThreads(settings.client_threads, "client_threads"));
+  BOOST_LEAF_CHECK(Require(settings.control_voters <= kMaxVoters, "control_voters",
+                           "must be from 0 to 9."));
+  BOOST_LEAF_CHECK(Require(settings.durable_copies >= 1 && settings.durable_copies <= kMaxCopies,
+                           "durable_copies", "must be from 1 to 5."));
+  BOOST_LEAF_CHECK(
+      CheckDuration(settings.target_lease, absl::Seconds(1), absl::Seconds(60), "target_lease"));
   return Require(settings.max_body_bytes >= 1 && settings.max_body_bytes <= kMaxBodyBytes,
                  "max_body_bytes", "must be from 1 to 67108864.");
 }
@@ -146,6 +164,9 @@
       absl::StrSplit(absl::GetFlag(FLAGS_control_peers), ',', absl::SkipWhitespace());
   settings.freshness_lease = absl::GetFlag(FLAGS_freshness_lease);
   settings.token_wait = absl::GetFlag(FLAGS_token_wait);
+  settings.control_voters = absl::GetFlag(FLAGS_control_voters);
+  settings.durable_copies = absl::GetFlag(FLAGS_durable_copies);
+  settings.target_lease = absl::GetFlag(FLAGS_target_lease);
   settings.drain_delay = absl::GetFlag(FLAGS_drain_delay);
   settings.drain_timeout = absl::GetFlag(FLAGS_drain_timeout);
   settings.http_threads = absl::GetFlag(FLAGS_http_threads);
--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -5,7 +5,6 @@
 
 #include "common/log.h"
 #include "daemon/account_rates.h"
-#include "manifest/manifest_codec.h"
 
 namespace teaseljunction {
 namespace {
@@ -74,6 +73,11 @@
   RequestSync();
 }
 
+void sync_loop::SetControlMember(uint64_t member_id) {
+  absl::MutexLock lock(&mutex_);
+  control_member_id_ = member_id;
+}
+
 void sync_loop::ScheduleAt(absl::Time when) {
   if (stopped_ || when >= scheduled_for_) return;
   if (timer_id_ != 0) ports_.timers.Cancel(timer_id_);
@@ -85,13 +89,14 @@
   const auto manifest = ports_.config.Latest();
   daemon_announcement announced;
   announced.daemon_id = settings_.daemon_id;
-  announced.incarnation = incarnation_;
   announced.address = settings_.rpc_listen;
   announced.data_centre = settings_.data_centre;
   announced.target = ports_.executor.Target();
   announced.manifest_version = manifest == nullptr ? 0 : manifest->Manifest().version;
   absl::MutexLock lock(&mutex_);
+  announced.incarnation = incarnation_;
   announced.draining = draining_;
+  announced.control_member_id = control_member_id_;
   return announced;
 }
 
@@ -162,6 +167,11 @@
 
 void sync_loop::Apply(const sync_response& response, uint64_t known_quarantine,
                       absl::Time sent_at) {
+  if (response.outdated_by != 0) {
+    // The clock that incarnations come from was set back since the earlier start.
+    absl::MutexLock lock(&mutex_);
+    incarnation_ = std::max(incarnation_, response.outdated_by + 1);
+  }
   ports_.quarantine.Append(known_quarantine, response.quarantined);
   ports_.executor.SetSuspects(response.suspects);
   ApplyDirectory(response.directory);
@@ -169,19 +179,25 @@
   if (response.manifest.version != 0 && !ApplyManifest(response.manifest)) return;
   ports_.accounts.ApplyGrants(response.grants, sent_at);
   ports_.config.ConfirmUntil(sent_at + settings_.freshness_lease);
+  if (!response.control_addresses.empty()) ports_.locator.SetMembers(response.control_addresses);
 }
 
 bool sync_loop::ApplyManifest(const manifest_record& record) {
-  auto decoded = Capture<manifest>([&] { return DecodeManifest(record.content); });
+  if (const auto known = ports_.config.Latest()) {
+    if (known->Manifest().version >= record.version) return known->Digest() == record.digest;
+  }
+  auto decoded = Capture<manifest>([&] { return ports_.decode(record.content); });
   if (const auto* failure = std::get_if<error>(&decoded)) {
     LOG(ERROR) << "sync: manifest version " << record.version
                << " cannot be decoded: " << failure->detail;
     return false;
   }
-  const auto index = std::make_shared<const manifest_index>(std::get<manifest>(std::move(decoded)));
+  const auto index = std::make_shared<const manifest_index>(
+      std::get<manifest>(std::move(decoded)), record.digest, record.content);
   ports_.accounts.SetAccounts(AccountRates(index->Manifest()));
   for (const service& listed : index->Manifest().services) {
-    ports_.targets.SetRetryRatio(listed.name, listed.retry_ratio);
+    const double ratio = settings_.retry_ratio < 0 ? listed.retry_ratio : settings_.retry_ratio;
+    ports_.targets.SetRetryBudget(listed.name, ratio, settings_.retry_reserve);
   }
   if (ports_.config.Install(index)) {
     LOG(INFO) << "sync: manifest version " << record.version << " with digest " << record.digest
--- a/src/daemon/leader_client.h
+++ b/src/daemon/leader_client.h
@@ -8,7 +8,7 @@
 #include "absl/synchronization/mutex.h"
 #include "common/clock_source.h"
 #include "gateway/control_client.h"
-#include "gateway/scheduler.h"
+#include "common/scheduler.h"
 #include "rpc/peer_client.h"
 
 namespace teaseljunction {
@@ -16,7 +16,13 @@
 /// Address of the control group's leader as far as this daemon knows it. Thread-safe.
 class leader_locator {
  public:
-  explicit leader_locator(std::vector<std::string> members) : members_(std::move(members)) {}
+  explicit leader_locator(std::vector<std::string> seeds) : seeds_(std::move(seeds)) {}
+
+  /// Replaces the addresses from the settings.
+  void SetSeeds(std::vector<std::string> seeds);
+
+  /// Replaces the addresses that the leader told. They are tried before the seeds.
+  void SetMembers(const std::vector<std::string>& members);
 
   /// Returns the address to try next.
   std::string Address() const;
@@ -25,8 +31,12 @@
   void NotLeader(const std::string& address, const std::string& hint);
 
  private:
-  const std::vector<std::string> members_;
+  // Returns all known addresses, those of members first.
+  std::vector<std::string> Known() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
   mutable absl::Mutex mutex_;
+  std::vector<std::string> seeds_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::string> members_ ABSL_GUARDED_BY(mutex_);
   std::string hint_ ABSL_GUARDED_BY(mutex_);
   size_t next_ ABSL_GUARDED_BY(mutex_) = 0;
 };
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -49,6 +49,7 @@
   }
   auto process = std::get<std::unique_ptr<daemon_process>>(std::move(built));
   StopOnSignal(signals, *process);
+  process->Start();
   return process->Run() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -26,6 +26,8 @@
   void Raft(std::string message) override;
   manifest_record Manifest() override;
   status_report Status() override;
+  absl::optional<manifest_record> AcceptedManifest() override;
+  void Refresh() override;
 
  private:
   const clock_source& clock_;
--- a/src/daemon/sync_loop.h
+++ b/src/daemon/sync_loop.h
@@ -13,6 +13,7 @@
 #include "gateway/quarantine_registry.h"
 #include "gateway/target_executor.h"
 #include "gateway/target_selector.h"
+#include "manifest/manifest_format.h"
 #include "membership/directory_view.h"
 
 namespace teaseljunction {
@@ -28,6 +29,7 @@
   target_selector& targets;
   target_executor& executor;
   quarantine_registry& quarantine;
+  const manifest_decoder& decode;
 };
 
 /// Keeps this daemon in step with the leader: sends the announcement and the demands, and applies
@@ -56,6 +58,9 @@
   /// Returns the announcement of this daemon.
   daemon_announcement Announcement();
 
+  /// Sets the id of the control member in this daemon, which is told to the leader.
+  void SetControlMember(uint64_t member_id);
+
   /// Runs after each new manifest was put in force.
   void OnManifest(absl::AnyInvocable<void(const manifest_index&)> callback);
 
@@ -71,14 +76,15 @@
 
   const sync_ports ports_;
   const daemon_settings& settings_;
-  const uint64_t incarnation_;
   absl::AnyInvocable<void(const manifest_index&)> on_manifest_;
 
   absl::Mutex mutex_;
   directory_view directory_ ABSL_GUARDED_BY(mutex_);
   bool in_flight_ ABSL_GUARDED_BY(mutex_) = false;
   bool requested_ ABSL_GUARDED_BY(mutex_) = false;
+  uint64_t incarnation_ ABSL_GUARDED_BY(mutex_);
   bool draining_ ABSL_GUARDED_BY(mutex_) = false;
+  uint64_t control_member_id_ ABSL_GUARDED_BY(mutex_) = 0;
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
   absl::Time last_sent_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   // Time at which the allowance of quick syncs is full again.
--- a/src/daemon/tests/settings_test.cc
+++ b/src/daemon/tests/settings_test.cc
@@ -39,7 +39,10 @@
       {"--daemon_id=a b", "--daemon_id"},
       {"--control=true", "--data_dir"},
       {"--freshness_lease=1h", "--freshness_lease"},
-      {"--http_threads=0", "--http_threads"},
+      {"--http_threads=65", "--http_threads"},
+      {"--control_voters=10", "--control_voters"},
+      {"--durable_copies=0", "--durable_copies"},
+      {"--target_lease=0s", "--target_lease"},
       {"--max_body_bytes=0", "--max_body_bytes"},
       {"unexpected", "unexpected argument"},
   };
--- a/src/gateway/account_limiter.h
+++ b/src/gateway/account_limiter.h
@@ -12,7 +12,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "common/clock_source.h"
-#include "gateway/scheduler.h"
+#include "common/scheduler.h"
 #include "shares/share_holder.h"
 
 namespace teaseljunction {
--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -13,7 +13,7 @@
 #include "gateway/control_client.h"
 #include "gateway/pending_work.h"
 #include "gateway/quarantine_registry.h"
-#include "gateway/scheduler.h"
+#include "common/scheduler.h"
 #include "gateway/target_selector.h"
 #include "http/http_handler.h"
 #include "rpc/peer_client.h"
@@ -32,6 +32,7 @@
   quarantine_registry& quarantine;
   call_metrics& metrics;
   pending_work& pending;
+  const resolver_settings& settings;
 };
 
 /// One request of a caller or a child call of the local target, from its resolution to its answer:
--- a/src/gateway/entry_service.h
+++ b/src/gateway/entry_service.h
@@ -23,6 +23,8 @@
 
  private:
   void HandleCall(const http_request& request, std::shared_ptr<http_exchange> exchange);
+  std::string RequestId(const http_request& request);
+  uint64_t ManifestVersion() const;
   result<resolved_call> Resolve(const http_request& request, const std::string& request_id);
 
   const entry_ports& ports_;
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -1,9 +1,12 @@
 #include "gateway/call_resolver.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -44,8 +47,18 @@
   return FindHeader(received.headers, kApiKeyHeader).value_or("");
 }
 
-bool IsRemoved(const http_header& header) {
-  if (absl::StartsWithIgnoreCase(header.name, kOwnHeaderPrefix)) return true;
+bool IsSystemHeader(absl::string_view name, const call_headers& headers) {
+  if (absl::StartsWithIgnoreCase(name, kOwnHeaderPrefix)) return true;
+  for (const std::string* known :
+       {&headers.request_id, &headers.deadline, &headers.client_account, &headers.context,
+        &headers.caller_service, &headers.target_id}) {
+    if (absl::EqualsIgnoreCase(name, *known)) return true;
+  }
+  return false;
+}
+
+bool IsRemoved(const http_header& header, const call_headers& headers) {
+  if (IsSystemHeader(header.name, headers)) return true;
   return std::any_of(kRemovedHeaders.begin(), kRemovedHeaders.end(), [&](absl::string_view name) {
     return absl::EqualsIgnoreCase(header.name, name);
   });
@@ -53,16 +66,30 @@
 
 // Copies the headers that a target may see. A header that repeats the key under another name is
 // left out too.
-std::vector<http_header> HeadersForTarget(const http_request& received, absl::string_view key) {
+std::vector<http_header> HeadersForTarget(const http_request& received, absl::string_view key,
+                                          const resolver_settings& settings) {
   std::vector<http_header> headers;
   for (const http_header& header : received.headers) {
-    if (IsRemoved(header)) continue;
+    if (IsRemoved(header, settings.headers)) continue;
     if (!key.empty() && absl::StrContains(header.value, key)) continue;
     headers.push_back(header);
   }
+  if (settings.headers.forward_host) {
+    const auto host = FindHeader(received.headers, "Host");
+    if (host) headers.push_back({"Host", std::string(*host)});
+  }
+  if (!settings.headers.caller_service.empty()) {
+    headers.push_back({settings.headers.caller_service, settings.caller_service});
+  }
   return headers;
 }
 
+// Returns the host that the request names, in lower case and without its port.
+std::string HostOf(const http_request& received) {
+  const absl::string_view host = FindHeader(received.headers, "Host").value_or("");
+  return absl::AsciiStrToLower(host.substr(0, host.find(':')));
+}
+
 absl::string_view PathOf(const http_request& received) {
   const absl::string_view target = received.path;
   return target.substr(0, target.find('?'));
@@ -79,6 +106,8 @@
   const client_account* account = manifest.FindAccountByKeyDigest(KeyDigest(key));
   if (account == nullptr) return Fail(error_kind::kKeyUnknown);
   request.client_account = account->name;
+  if (account->priority) request.priority = *account->priority;
+  request.limited = account->rate > 0;
   return {};
 }
 
@@ -90,13 +119,14 @@
   request.depth = parent.Depth() + 1;
 }
 
-result<absl::Duration> TimeoutOf(const http_request& received, const route& matched) {
-  const auto header = FindHeader(received.headers, kDeadlineHeader);
+result<absl::Duration> TimeoutOf(const http_request& received, const route& matched,
+                                 absl::string_view name) {
+  const auto header = FindHeader(received.headers, name);
   if (!header) return matched.timeout;
   int64_t milliseconds = 0;
   if (!absl::SimpleAtoi(*header, &milliseconds) || milliseconds < 0) {
     return Fail(error_kind::kMalformedRequest,
-                absl::StrCat(kDeadlineHeader, " must be a number of milliseconds."));
+                absl::StrCat(name, " must be a number of milliseconds."));
   }
   return std::min(matched.timeout, absl::Milliseconds(milliseconds));
 }
@@ -123,8 +153,10 @@
 }
 
 result<std::shared_ptr<running_call>> FindParent(const call_context_table& contexts,
+                                                 const call_headers& headers,
                                                  const http_request& received) {
-  const auto token = FindHeader(received.headers, kContextHeader);
+  if (headers.context.empty()) return nullptr;
+  const auto token = FindHeader(received.headers, headers.context);
   if (!token) return nullptr;
   auto parent = contexts.Find(*token);
   if (parent == nullptr) return Fail(error_kind::kContextUnknown);
@@ -137,12 +169,29 @@
 
 }  // namespace
 
+absl::string_view SelectService(const route& matched, absl::string_view request_id) {
+  if (matched.parts.empty()) return matched.service;
+  double total = 0;
+  for (const route_part& part : matched.parts) total += part.weight;
+  // Two uses of one hash must not select alike, so the cohort's is not used here.
+  const double fraction =
+      static_cast<double>(XXH3_64bits(request_id.data(), request_id.size()) >> 11) * 0x1.0p-53;
+  double left = fraction * total;
+  for (const route_part& part : matched.parts) {
+    left -= part.weight;
+    if (left < 0) return part.service;
+  }
+  return matched.parts.back().service;
+}
+
 result<resolved_call> ResolveCall(const manifest_index& manifest,
-                                  const call_context_table& contexts, const http_request& received,
+                                  const call_context_table& contexts,
+                                  const resolver_settings& settings, const http_request& received,
                                   absl::string_view request_id, absl::Time now) {
   resolved_call resolved;
-  BOOST_LEAF_ASSIGN(resolved.parent, FindParent(contexts, received));
-  const route_match match = manifest.FindRoute(received.method, PathOf(received));
+  BOOST_LEAF_ASSIGN(resolved.parent, FindParent(contexts, settings.headers, received));
+  const route_match match =
+      manifest.FindRoute(HostOf(received), received.method, PathOf(received));
   if (match.matched == nullptr) return Fail(match.failure);
   const route& matched = *match.matched;
 
@@ -155,25 +204,27 @@
     BOOST_LEAF_CHECK(ResolveAccount(manifest, received, matched, key, request));
     request.request_id = std::string(request_id);
     request.cohort = CohortOf(request.client_account, request_id);
-    resolved.needs_share = !matched.open;
+    resolved.needs_share = !matched.open && request.limited;
+    request.depth = matched.internal ? 1 : 0;
   }
-  request.service = matched.service;
+  request.service = std::string(SelectService(matched, request.request_id));
   request.method = received.method;
   request.path = received.path;
-  request.headers = HeadersForTarget(received, key);
+  request.headers = HeadersForTarget(received, key, settings);
   request.body = received.body;
   request.idempotent = matched.idempotent;
   request.attempt_budget = matched.max_attempts;
   request.fingerprint = FingerprintOf(request);
+  resolved.max_targets = matched.max_targets;
 
   absl::Duration timeout;
-  BOOST_LEAF_ASSIGN(timeout, TimeoutOf(received, matched));
+  BOOST_LEAF_ASSIGN(timeout, TimeoutOf(received, matched, settings.headers.deadline));
   resolved.deadline = now + timeout;
   if (resolved.parent != nullptr) {
     resolved.deadline = std::min(resolved.deadline, resolved.parent->Deadline());
   }
   if (resolved.deadline <= now) return Fail(error_kind::kDeadlineTooShort);
-  if (!matched.idempotent) {
+  if (!matched.idempotent && matched.claims) {
     resolved.needs_claim = true;
     BOOST_LEAF_CHECK(ResolveIdentity(received, matched, resolved.parent.get(), request));
   }
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "balancer/retry_policy.h"
+#include "common/event_log.h"
 #include "common/log.h"
 #include "http/problem.h"
 
@@ -15,6 +16,8 @@
 constexpr absl::Duration kClaimTimeout = absl::Seconds(3);
 // Time for which the outcome of a claimed call is proposed again while the control group is away.
 constexpr absl::Duration kBackgroundProposeTimeout = absl::Seconds(30);
+// Estimate of the time after which a refused caller may find room.
+constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
 constexpr absl::string_view kReplayedHeader = "Teaseljunction-Replayed";
 
 // Kinds with which a target or its daemon refuses a call without being at fault.
@@ -104,8 +107,6 @@
 }
 
 void entry_call::AnswerRecorded(call_answer recorded) {
-  LOG(INFO) << "routing: request " << resolved_.request.request_id
-            << " is answered with the recorded response.";
   recorded.headers.push_back({std::string(kReplayedHeader), "true"});
   Answer(std::move(recorded));
 }
@@ -129,10 +130,16 @@
   call request = resolved_.request;
   request.time_left = resolved_.deadline - now;
   request.attempt_budget = attempt_budget_for_target;
-  LOG(INFO) << "routing: request " << request.request_id << " of account " << request.client_account
-            << " for service " << request.service << " is sent to target " << target.daemon_id
-            << " at " << target.address << ", attempt " << attempts_ << ", depth " << request.depth
-            << ".";
+  const call_event event = attempts_ > 1 ? call_event::kResent : call_event::kSent;
+  if (WantsCallLog(event, request.request_id)) {
+    LogCall(event, request.request_id,
+            {{"account", request.client_account},
+             {"service", request.service},
+             {"to", target.daemon_id},
+             {"attempt", attempts_},
+             {"depth", request.depth},
+             {"left_ms", request.time_left}});
+  }
   tried_.push_back(target.daemon_id);
   ports_.targets.Started(request.service, target.daemon_id, now);
   const absl::Duration time_left = request.time_left;
@@ -188,13 +195,12 @@
                               .has_claim = claim_held_,
                               .attempts_made = attempts_,
                               .crashes = crashes_,
-                              .time_left = resolved_.deadline - now},
+                              .time_left = resolved_.deadline - now,
+                              .max_attempts = resolved_.max_targets},
                              retries, ports_.random, now);
         });
   }
   if (retry_delay) {
-    LOG(INFO) << "routing: request " << resolved_.request.request_id << " is retried after "
-              << AnswerFor(failure.kind).name << ".";
     ports_.timers.RunAt(now + *retry_delay, [self = shared_from_this()] { self->Dispatch(); });
     return;
   }
@@ -209,6 +215,10 @@
     // A claimed call runs on, so that a repeat of the request gets its answer.
     if (!claim_held_) running = execute_id_;
   }
+  LogCall(call_event::kCallerGone, resolved_.request.request_id,
+          {{"service", resolved_.request.service},
+           {"attempts", attempts_},
+           {"held_ms", ports_.clock.Now() - started_at_}});
   if (running) ports_.peers.CancelExecute(*running);
 }
 
@@ -219,6 +229,13 @@
 
 void entry_call::Answer(call_answer answer) {
   if (claim_held_) Complete(answer);
+  if (WantsCallLog(call_event::kAnswered, resolved_.request.request_id)) {
+    LogCall(call_event::kAnswered, resolved_.request.request_id,
+            {{"status", answer.status},
+             {"attempts", attempts_},
+             {"held_ms", ports_.clock.Now() - started_at_},
+             {"target_ms", last_service_time_}});
+  }
   ports_.metrics.RecordAnswer(resolved_.request.priority, ports_.clock.Now() - started_at_,
                               last_service_time_);
   Finish({answer.status, std::move(answer.headers), std::move(answer.body)});
@@ -232,19 +249,29 @@
     reported = {error_kind::kOutcomeUnknown, failure.detail};
   }
   if (claim_held_ && !may_have_run_) Release();
-  LOG(INFO) << "routing: request " << resolved_.request.request_id << " of account "
-            << resolved_.request.client_account << " for service " << resolved_.request.service
-            << " is refused: " << AnswerFor(reported.kind).name << ".";
+  LogCall(call_event::kRefused, resolved_.request.request_id,
+          {{"reason", AnswerFor(reported.kind).name},
+           {"cause", AnswerFor(failure.kind).name},
+           {"detail", failure.detail},
+           {"account", resolved_.request.client_account},
+           {"service", resolved_.request.service},
+           {"priority", PriorityName(resolved_.request.priority)},
+           {"attempts", attempts_},
+           {"held_ms", ports_.clock.Now() - started_at_}});
   ports_.metrics.RecordError(reported.kind);
-  const uint32_t seconds = RetryAfterSeconds(retry_after.value_or(absl::Seconds(1)), ports_.random);
-  Finish(ProblemResponse(reported, resolved_.request.request_id, absl::Seconds(seconds)));
+  Finish(ProblemResponse(reported, resolved_.request.request_id,
+                         RetryAfterDelay(retry_after.value_or(kDefaultRetryAfter), ports_.random),
+                         ports_.settings.headers.fractional_retry_after));
 }
 
 void entry_call::Finish(http_response response) {
   if (resolved_.parent != nullptr) {
     resolved_.parent->ReturnFromChild(resolved_.parent_part, budget_.Left());
   }
-  response.headers.push_back({std::string(kRequestIdHeader), resolved_.request.request_id});
+  const std::string& name = ports_.settings.headers.request_id;
+  if (!FindHeader(response.headers, name)) {
+    response.headers.push_back({name, resolved_.request.request_id});
+  }
   exchange_->Respond(std::move(response));
 }
 
--- a/src/gateway/internal/entry_service.cc
+++ b/src/gateway/internal/entry_service.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "absl/strings/match.h"
-#include "common/log.h"
+#include "common/event_log.h"
 #include "http/problem.h"
 
 namespace teaseljunction {
@@ -41,7 +41,8 @@
   const absl::Time now = ports_.clock.Now();
   const auto manifest = config_.Confirmed(now);
   if (manifest == nullptr) return Fail(error_kind::kConfigurationStale);
-  BOOST_LEAF_AUTO(resolved, ResolveCall(*manifest, contexts_, request, request_id, now));
+  BOOST_LEAF_AUTO(resolved, ResolveCall(*manifest, contexts_, ports_.settings, request, request_id,
+                                        now));
   if (resolved.parent == nullptr) return resolved;
   const auto attempts = resolved.parent->TakeForChild();
   if (!attempts) return Fail(error_kind::kAttemptsExhausted);
@@ -50,17 +51,33 @@
   return resolved;
 }
 
+std::string entry_service::RequestId(const http_request& request) {
+  const call_headers& headers = ports_.settings.headers;
+  if (headers.caller_request_id) {
+    const auto given = FindHeader(request.headers, headers.request_id);
+    if (given && !given->empty()) return std::string(*given);
+  }
+  return RandomHex(ports_.random, kRequestIdBytes);
+}
+
+uint64_t entry_service::ManifestVersion() const {
+  const auto manifest = config_.Latest();
+  return manifest == nullptr ? 0 : manifest->Manifest().version;
+}
+
 void entry_service::HandleCall(const http_request& request,
                                std::shared_ptr<http_exchange> exchange) {
-  const std::string request_id = RandomHex(ports_.random, kRequestIdBytes);
+  const std::string request_id = RequestId(request);
   outcome<resolved_call> resolved =
       Capture<resolved_call>([&] { return Resolve(request, request_id); });
   if (const auto* failure = std::get_if<error>(&resolved)) {
-    LOG(INFO) << "routing: request " << request_id
-              << " is refused: " << AnswerFor(failure->kind).name << ".";
+    LogCall(call_event::kRefused, request_id,
+            {{"reason", AnswerFor(failure->kind).name},
+             {"path", request.path},
+             {"config_version", ManifestVersion()}});
     ports_.metrics.RecordError(failure->kind);
     http_response response = ProblemResponse(*failure, request_id);
-    response.headers.push_back({std::string(kRequestIdHeader), request_id});
+    response.headers.push_back({ports_.settings.headers.request_id, request_id});
     exchange->Respond(std::move(response));
     return;
   }
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -4,43 +4,53 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "common/event_log.h"
 #include "common/log.h"
-#include "gateway/call_resolver.h"
 
 namespace teaseljunction {
 namespace {
 
-constexpr int kServiceUnavailable = 503;
+// Answer of a process that is not the one the request was meant for.
+constexpr int kMisdirected = 421;
 constexpr int kServerErrorStatus = 500;
 // An announcement that was on its way when the process crashed arrives within this time.
 constexpr absl::Duration kAnnouncementDelay = absl::Milliseconds(200);
 // Targets announce themselves once a second. Without an announcement for this long after a lost
 // connection, the process counts as lost.
 constexpr absl::Duration kLossConfirmation = absl::Milliseconds(1500);
+// Time for which a draining target still gets the calls of daemons that have not heard of it.
+constexpr absl::Duration kDrainAcceptance = absl::Seconds(1);
 // Headers and bookkeeping of a queued call, for the bound on queue memory.
 constexpr size_t kCallOverheadBytes = 1024;
 
 http_request RequestForTarget(const call& request, absl::string_view token,
-                              absl::Duration time_left) {
+                              const target_announcement& target, absl::Duration time_left,
+                              const call_headers& names) {
   http_request sent{request.method, request.path, request.headers, request.body};
-  sent.headers.push_back({std::string(kRequestIdHeader), request.request_id});
-  sent.headers.push_back({std::string(kContextHeader), std::string(token)});
-  sent.headers.push_back(
-      {std::string(kDeadlineHeader), absl::StrCat(absl::ToInt64Milliseconds(time_left))});
-  sent.headers.push_back({std::string(kClientAccountHeader), request.client_account});
+  const auto add = [&sent](const std::string& name, std::string value) {
+    if (!name.empty()) sent.headers.push_back({name, std::move(value)});
+  };
+  add(names.request_id, request.request_id);
+  add(names.context, std::string(token));
+  add(names.deadline, absl::StrCat(absl::ToInt64Milliseconds(time_left)));
+  if (!request.client_account.empty()) add(names.client_account, request.client_account);
+  add(names.target_id, target.target_id);
+  if (names.caller_request_id) sent.expected.echoed = {names.request_id, request.request_id};
+  sent.expected.present = names.answer_mark;
+  sent.expected.may_end_with_connection = names.answer_may_end_with_connection;
   return sent;
 }
 
-target_result ResultOf(const outcome<http_response>& response) {
+target_result ResultOf(const outcome<http_response>& response, const call_headers& names) {
   if (const auto* failure = std::get_if<error>(&response)) {
     if (failure->kind == error_kind::kDeadlineExceeded) return target_result::kTimedOut;
     if (failure->kind == error_kind::kCancelled) return target_result::kCancelled;
     return target_result::kFailed;
   }
   const http_response& received = std::get<http_response>(response);
-  const bool shed = received.status == kServiceUnavailable &&
-                    FindHeader(received.headers, kShedHeader).value_or("") == "true";
-  return shed ? target_result::kShed : target_result::kAnswered;
+  const bool refused = received.status == kMisdirected ||
+                       FindHeader(received.headers, names.not_run).has_value();
+  return refused ? target_result::kShed : target_result::kAnswered;
 }
 
 outcome<call_answer> AnswerOf(outcome<http_response> response, target_result result) {
@@ -64,8 +74,11 @@
 };
 
 target_executor::target_executor(const executor_ports& ports, std::string daemon_id,
-                                 admission_controller admission)
-    : ports_(ports), admission_(std::move(admission)), suspects_(std::move(daemon_id)) {}
+                                 admission_controller admission, absl::Duration lease)
+    : ports_(ports),
+      admission_(std::move(admission)),
+      lease_(lease),
+      suspects_(std::move(daemon_id)) {}
 
 announce_result target_executor::Announce(const target_announcement& announced) {
   deferred_work work;
@@ -94,6 +107,20 @@
   return processed;
 }
 
+void target_executor::Leave(uint64_t incarnation) {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = ports_.clock.Now();
+  const auto target = lease_.Current(now);
+  if (!target || target->incarnation != incarnation) return;
+  LOG(INFO) << "membership: target " << target->target_id << " of service " << target->service
+            << (target->draining ? " has withdrawn." : " leaves without draining first.");
+  if (!target->draining) {
+    lease_.Drain(incarnation, now);
+    return;
+  }
+  lease_.Withdraw(incarnation);
+}
+
 void target_executor::SetSuspects(absl::Span<const std::string> fingerprints) {
   absl::MutexLock lock(&mutex_);
   suspects_.SetSuspects(fingerprints, ports_.clock.Now());
@@ -118,7 +145,7 @@
 error_kind target_executor::RefusalOf(const call& request, absl::Time now) {
   const auto target = lease_.Current(now);
   if (!target || target->service != request.service) return error_kind::kTargetUnreachable;
-  if (target->draining) return error_kind::kDraining;
+  if (now - lease_.DrainingSince() > kDrainAcceptance) return error_kind::kDraining;
   if (ports_.quarantine.Contains(request.fingerprint)) return error_kind::kQuarantined;
   return error_kind::kInternal;
 }
@@ -194,10 +221,15 @@
 }
 
 void target_executor::RunDeferred(deferred_work work) {
+  const executor_status status = work.refusals.empty() ? executor_status() : Status();
   for (auto& [refused, reason] : work.refusals) {
-    LOG(INFO) << "admission: request " << refused->request.request_id << " of priority "
-              << PriorityName(refused->request.priority)
-              << " is refused: " << AnswerFor(reason).name << ".";
+    LogCall(call_event::kTargetRefused, refused->request.request_id,
+            {{"reason", AnswerFor(reason).name},
+             {"priority", PriorityName(refused->request.priority)},
+             {"depth", refused->request.depth},
+             {"queued_ms", ports_.clock.Now() - refused->arrived_at},
+             {"running", status.running},
+             {"limit", status.concurrency_limit}});
     Deliver(*refused, error{reason, ""}, absl::ZeroDuration());
   }
   for (const uint64_t call_id : work.starts) StartCall(call_id);
@@ -205,7 +237,7 @@
 
 void target_executor::StartCall(uint64_t call_id) {
   std::shared_ptr<task> started;
-  std::string address;
+  absl::optional<target_announcement> target;
   {
     absl::MutexLock lock(&mutex_);
     const auto found = tasks_.find(call_id);
@@ -214,17 +246,23 @@
     const absl::Time now = ports_.clock.Now();
     started->started = true;
     started->started_at = now;
-    if (const auto target = lease_.Current(now)) address = target->address;
+    target = lease_.Current(now);
     suspects_.Started(started->request.fingerprint, now);
   }
   started->running = std::make_shared<running_call>(started->request, started->deadline);
   started->token = ports_.contexts.Add(started->running);
-  LOG(INFO) << "admission: request " << started->request.request_id << " of priority "
-            << PriorityName(started->request.priority) << " is started at the target after "
-            << absl::FormatDuration(started->started_at - started->arrived_at) << " in the queue.";
+  if (!target) return OnResponse(call_id, error{error_kind::kTargetUnreachable, "no target"});
+  if (WantsCallLog(call_event::kStarted, started->request.request_id)) {
+    LogCall(call_event::kStarted, started->request.request_id,
+            {{"target", target->target_id},
+             {"address", target->address},
+             {"priority", PriorityName(started->request.priority)},
+             {"queued_ms", started->started_at - started->arrived_at}});
+  }
   const absl::Duration time_left = started->deadline - started->started_at;
   const uint64_t http_id = ports_.client.Send(
-      address, RequestForTarget(started->request, started->token, time_left),
+      target->address,
+      RequestForTarget(started->request, started->token, *target, time_left, ports_.headers),
       !started->request.idempotent, time_left, [this, call_id](outcome<http_response> response) {
         OnResponse(call_id, std::move(response));
       });
@@ -240,7 +278,7 @@
 void target_executor::OnResponse(uint64_t call_id, outcome<http_response> response) {
   std::shared_ptr<task> finished;
   deferred_work work;
-  const target_result result = ResultOf(response);
+  const target_result result = ResultOf(response, ports_.headers);
   absl::Time now;
   {
     absl::MutexLock lock(&mutex_);
@@ -263,6 +301,14 @@
     PollAdmission(work);
   }
   const absl::Duration service_time = now - finished->started_at;
+  const auto* failure = std::get_if<error>(&response);
+  if (failure != nullptr || WantsCallLog(call_event::kFinished, finished->request.request_id)) {
+    LogCall(call_event::kFinished, finished->request.request_id,
+            {{"outcome", failure != nullptr ? AnswerFor(failure->kind).name : "answered"},
+             {"detail", failure != nullptr ? failure->detail : ""},
+             {"status", failure != nullptr ? 0 : std::get<http_response>(response).status},
+             {"target_ms", service_time}});
+  }
   Deliver(*finished, AnswerOf(std::move(response), result), service_time);
   RunDeferred(std::move(work));
 }
--- a/src/gateway/internal/target_selector.cc
+++ b/src/gateway/internal/target_selector.cc
@@ -35,10 +35,10 @@
   }
 }
 
-void target_selector::SetRetryRatio(absl::string_view service, double ratio) {
+void target_selector::SetRetryBudget(absl::string_view service, double ratio, double reserve) {
   shard& owner = ShardOf(service);
   absl::MutexLock lock(&owner.mutex);
-  owner.retries.SetRatio(service, ratio);
+  owner.retries.SetBudget(service, ratio, reserve);
 }
 
 absl::optional<target_choice> target_selector::Choose(const call& request,
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -11,8 +11,9 @@
 #include "admission/admission_controller.h"
 #include "common/clock_source.h"
 #include "gateway/call_context.h"
+#include "gateway/call_headers.h"
 #include "gateway/quarantine_registry.h"
-#include "gateway/scheduler.h"
+#include "common/scheduler.h"
 #include "http/http_client.h"
 #include "membership/target_lease.h"
 #include "quarantine/suspect_tracker.h"
@@ -27,6 +28,7 @@
   call_context_table& contexts;
   http_client& client;
   quarantine_registry& quarantine;
+  const call_headers& headers;
 };
 
 /// Counters of the executor, for operators.
@@ -44,8 +46,13 @@
   using completion = absl::AnyInvocable<void(execute_result)>;
 
   /// `daemon_id` names the target in crash reports.
+  /// `lease` is the time for which an announcement is valid.
   target_executor(const executor_ports& ports, std::string daemon_id,
-                  admission_controller admission);
+                  admission_controller admission, absl::Duration lease = kMembershipLease);
+
+  /// Processes the withdrawal of a target. One that has not drained before begins to drain, because
+  /// it still serves for a while; calls that run go on.
+  void Leave(uint64_t incarnation);
 
   /// Processes an announcement of the target.
   announce_result Announce(const target_announcement& announced);
--- a/src/gateway/target_selector.h
+++ b/src/gateway/target_selector.h
@@ -21,8 +21,9 @@
   /// Replaces the targets of all services.
   void SetTargets(absl::Span<const balancer_target> targets, absl::Time now);
 
-  /// Sets the retries to a service as a share of its first attempts.
-  void SetRetryRatio(absl::string_view service, double ratio);
+  /// Sets the retries to a service as a share of its first attempts, and their number per second
+  /// beside it.
+  void SetRetryBudget(absl::string_view service, double ratio, double reserve);
 
   /// Returns the target of the next attempt, or nothing when the service has none left.
   absl::optional<target_choice> Choose(const call& request, absl::Span<const std::string> excluded,
--- a/src/gateway/tests/call_resolver_test.cc
+++ b/src/gateway/tests/call_resolver_test.cc
@@ -14,11 +14,12 @@
 struct resolver_fixture {
   seeded_random_source random{1};
   call_context_table contexts{random};
+  resolver_settings settings;
   std::shared_ptr<const manifest_index> manifest = SampleManifest();
 
   outcome<resolved_call> Resolve(const http_request& request) {
     return Capture<resolved_call>(
-        [&] { return ResolveCall(*manifest, contexts, request, "r1", kNow); });
+        [&] { return ResolveCall(*manifest, contexts, settings, request, "r1", kNow); });
   }
 };
 
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -22,8 +22,9 @@
   pending_work pending;
   call_context_table contexts{random};
   std::shared_ptr<const manifest_index> manifest = SampleManifest();
-  entry_ports ports{time,    random, time,       accounts, targets,
-                    control, peers,  quarantine, metrics,  pending};
+  resolver_settings settings;
+  entry_ports ports{time,  random,     time,    accounts, targets, control,
+                    peers, quarantine, metrics, pending,  settings};
   uint64_t next_request = 0;
 
   entry_fixture() {
@@ -53,7 +54,8 @@
   std::shared_ptr<recorded_exchange> Send(http_request request) {
     request.headers.push_back({"X-Api-Key", kSampleKey});
     auto resolved = Capture<resolved_call>([&] {
-      return ResolveCall(*manifest, contexts, request, std::to_string(++next_request), time.Now());
+      return ResolveCall(*manifest, contexts, settings, request, std::to_string(++next_request),
+                         time.Now());
     });
     auto exchange = std::make_shared<recorded_exchange>();
     std::make_shared<entry_call>(ports, std::get<resolved_call>(std::move(resolved)), exchange)
--- a/src/gateway/tests/mocks/fake_ports.h
+++ b/src/gateway/tests/mocks/fake_ports.h
@@ -51,6 +51,7 @@
   void Propose(absl::string_view, command, absl::Duration,
                absl::AnyInvocable<void(outcome<propose_response>)>) override {}
   void Raft(absl::string_view, std::string) override {}
+  void Refresh(absl::string_view) override {}
   void Status(absl::string_view, absl::Duration,
               absl::AnyInvocable<void(outcome<status_report>)>) override {}
   void Manifest(absl::string_view, absl::Duration,
--- a/src/gateway/tests/mocks/virtual_scheduler.h
+++ b/src/gateway/tests/mocks/virtual_scheduler.h
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "common/clock_source.h"
-#include "gateway/scheduler.h"
+#include "common/scheduler.h"
 
 namespace teaseljunction {
 
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -36,7 +36,8 @@
   call_context_table contexts{random};
   fake_http_client client;
   quarantine_registry quarantine;
-  target_executor executor{executor_ports{time, time, contexts, client, quarantine}, "d1",
+  call_headers headers;
+  target_executor executor{executor_ports{time, time, contexts, client, quarantine, headers}, "d1",
                            admission_controller_builder().Build()};
   std::vector<execute_result> results;
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -18,10 +18,10 @@
   virtual ~http_client() = default;
 
   /// Sends a request to `address` ("IP:port"). With `at_most_once` the request is sent on a new
-  /// connection, because libcurl resends a request by itself when a kept connection ends before the
-  /// first byte of the response. Returns an id for `Cancel`.
+  /// connection, or on one that was in use just before, because the result is unknown when a kept
+  /// connection ends before the first byte of the response. Returns an id for `Cancel`.
   /// Errors: kTargetUnreachable when no byte was sent, kTargetFailed when the response is not
-  /// whole, kAnswerTooLarge, kDeadlineExceeded, kCancelled.
+  /// whole or not the expected one, kAnswerTooLarge, kDeadlineExceeded, kCancelled.
   virtual uint64_t Send(absl::string_view address, http_request request, bool at_most_once,
                         absl::Duration timeout,
                         absl::AnyInvocable<void(outcome<http_response>)> completion) = 0;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -12,11 +12,15 @@
 
 namespace teaseljunction {
 
+class event_loop;
+
 /// Settings of an `http_server`.
 struct http_server_settings {
   /// "IP:port"; port 0 takes a free one.
   std::string address;
   unsigned threads = 4;
+  /// Serves on this loop instead of own threads, when set.
+  event_loop* loop = nullptr;
   size_t max_body_bytes = size_t{1} << 20;
   /// Bound of the request line and the headers together.
   size_t max_header_bytes = size_t{16} << 10;
@@ -64,6 +68,8 @@
  public:
   http_server_builder& Address(absl::string_view address);
   http_server_builder& Threads(unsigned threads);
+  /// Serves on the thread of `loop`, which must outlive the server, instead of own threads.
+  http_server_builder& Loop(event_loop* loop);
   http_server_builder& MaxBodyBytes(size_t bytes);
   http_server_builder& MaxHeaderBytes(size_t bytes);
   http_server_builder& MaxConnections(unsigned connections);
--- a/src/http/internal/curl_client.cc
+++ b/src/http/internal/curl_client.cc
@@ -6,7 +6,8 @@
 
 #include "common/clock_source.h"
 #include "http/internal/curl_transfer.h"
-#include "http/internal/curl_worker.h"
+#include "http/internal/curl_loop.h"
+#include "http/internal/curl_thread.h"
 
 namespace teaseljunction {
 namespace {
@@ -20,8 +21,12 @@
 
 curl_client::curl_client(const curl_client_settings& settings) {
   InitialiseCurl();
+  if (settings.loop != nullptr) {
+    workers_.push_back(std::make_unique<curl_loop>(*settings.loop, settings));
+    return;
+  }
   for (unsigned i = 0; i < std::max(settings.threads, 1U); ++i) {
-    workers_.push_back(std::make_unique<curl_worker>(settings));
+    workers_.push_back(std::make_unique<curl_thread>(settings));
   }
 }
 
@@ -45,6 +50,11 @@
   return *this;
 }
 
+curl_client_builder& curl_client_builder::Loop(event_loop* loop) {
+  settings_.loop = loop;
+  return *this;
+}
+
 curl_client_builder& curl_client_builder::MaxResponseBytes(size_t bytes) {
   settings_.max_response_bytes = bytes;
   return *this;
@@ -60,6 +70,13 @@
   return *this;
 }
 
+curl_client_builder& curl_client_builder::MaxIdle(absl::Duration max_idle,
+                                                  absl::Duration at_most_once) {
+  settings_.max_idle = max_idle;
+  settings_.max_idle_at_most_once = at_most_once;
+  return *this;
+}
+
 std::unique_ptr<curl_client> curl_client_builder::Build() const {
   return std::unique_ptr<curl_client>(new curl_client(settings_));
 }
--- /dev/null
+++ b/src/http/internal/curl_loop.cc
@@ -0,0 +1,141 @@
+#include "http/internal/curl_loop.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+#include "common/clock_source.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr int kEventsPerWait = 64;
+
+}  // namespace
+
+curl_loop::curl_loop(event_loop& loop, const curl_client_settings& settings)
+    : loop_(loop), epoll_fd_(epoll_create1(EPOLL_CLOEXEC)) {
+  loop_.RunAndWait([&] {
+    transfers_.emplace(settings);
+    CURLM* multi = transfers_->multi();
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &curl_loop::OnSocket);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &curl_loop::OnTimer);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    watch_ = loop_.Watch(epoll_fd_, [this] { HandleSockets(); });
+  });
+}
+
+curl_loop::~curl_loop() {
+  loop_.RunAndWait([this] {
+    *alive_ = false;
+    transfers_->CancelAll();
+    if (timer_id_ != 0) loop_.Cancel(timer_id_);
+    watch_.reset();
+    transfers_.reset();
+  });
+  close(epoll_fd_);
+}
+
+void curl_loop::Send(std::unique_ptr<curl_transfer> transfer) {
+  loop_.Run([this, alive = alive_, transfer = std::move(transfer)]() mutable {
+    if (!*alive) return transfer->Fail(error_kind::kCancelled, "");
+    transfers_->Begin(std::move(transfer));
+  });
+}
+
+void curl_loop::Cancel(uint64_t id) {
+  loop_.Run([this, alive = alive_, id] {
+    if (*alive) transfers_->Cancel(id);
+  });
+}
+
+int curl_loop::OnSocket(CURL*, curl_socket_t socket, int wanted, void* self, void* known) {
+  static_cast<curl_loop*>(self)->WatchSocket(socket, wanted, known != nullptr);
+  return 0;
+}
+
+void curl_loop::WatchSocket(curl_socket_t socket, int wanted, bool known) {
+  if (wanted == CURL_POLL_REMOVE) {
+    epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, socket, nullptr);
+    return;
+  }
+  epoll_event event = {};
+  if ((wanted & CURL_POLL_IN) != 0) event.events |= EPOLLIN;
+  if ((wanted & CURL_POLL_OUT) != 0) event.events |= EPOLLOUT;
+  event.data.fd = socket;
+  epoll_ctl(epoll_fd_, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event);
+  // Any pointer marks the socket as known until libcurl removes it.
+  if (!known) curl_multi_assign(transfers_->multi(), socket, this);
+}
+
+int curl_loop::OnTimer(CURLM*, long timeout_ms, void* self) {
+  static_cast<curl_loop*>(self)->SetTimer(timeout_ms);
+  return 0;
+}
+
+void curl_loop::SetTimer(long timeout_ms) {
+  if (timeout_ms == 0) {
+    timeout_due_ = true;
+    FinishAtTurnEnd();
+    return;
+  }
+  timer_at_ = timeout_ms < 0
+                  ? absl::InfiniteFuture()
+                  : system_clock_source().Now() + absl::Milliseconds(timeout_ms);
+  if (timeout_ms < 0 || timer_id_ != 0) return;
+  timer_id_ = loop_.RunAt(timer_at_, [this, alive = alive_] {
+    if (*alive) HandleTimeout();
+  });
+}
+
+void curl_loop::HandleTimeout() {
+  timer_id_ = 0;
+  const absl::Time now = system_clock_source().Now();
+  if (now < timer_at_) {
+    if (timer_at_ == absl::InfiniteFuture()) return;
+    // The timer was moved to a later time since it was set.
+    timer_id_ = loop_.RunAt(timer_at_, [this, alive = alive_] {
+      if (*alive) HandleTimeout();
+    });
+    return;
+  }
+  timer_at_ = absl::InfiniteFuture();
+  timeout_due_ = true;
+  FinishAtTurnEnd();
+}
+
+void curl_loop::HandleSockets() {
+  std::array<epoll_event, kEventsPerWait> events;
+  int count = 0;
+  do {
+    count = epoll_wait(epoll_fd_, events.data(), kEventsPerWait, 0);
+    for (int i = 0; i < count; ++i) {
+      const uint32_t ready = events[i].events;
+      int bits = 0;
+      if ((ready & EPOLLIN) != 0) bits |= CURL_CSELECT_IN;
+      if ((ready & EPOLLOUT) != 0) bits |= CURL_CSELECT_OUT;
+      if ((ready & (EPOLLERR | EPOLLHUP)) != 0) bits |= CURL_CSELECT_IN | CURL_CSELECT_ERR;
+      int running = 0;
+      curl_multi_socket_action(transfers_->multi(), events[i].data.fd, bits, &running);
+    }
+    if (count > 0) transfers_->FinishDone();
+  } while (count > 0);
+}
+
+void curl_loop::FinishAtTurnEnd() {
+  if (turn_end_due_) return;
+  turn_end_due_ = true;
+  loop_.AtTurnEnd([this, alive = alive_] {
+    if (!*alive) return;
+    turn_end_due_ = false;
+    if (!std::exchange(timeout_due_, false)) return;
+    int running = 0;
+    curl_multi_socket_action(transfers_->multi(), CURL_SOCKET_TIMEOUT, 0, &running);
+    transfers_->FinishDone();
+  });
+}
+
+}  // namespace teaseljunction
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -14,9 +14,6 @@
 namespace {
 
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
-/// Kept connections that were idle for longer are not used again, because servers often close them
-/// just when the next request is sent.
-constexpr long kMaxIdleSeconds = 20;
 
 bool IsToken(absl::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
@@ -77,7 +74,6 @@
   }
   if (request_.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, at_most_once_ ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_transfer::OnSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
 }
@@ -113,7 +109,11 @@
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  const absl::Duration max_idle =
+      at_most_once_ ? settings.max_idle_at_most_once : settings.max_idle;
+  const long idle_seconds = absl::ToInt64Seconds(max_idle);
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, idle_seconds == 0 ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, idle_seconds);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &curl_transfer::OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &curl_transfer::OnBody);
@@ -142,6 +142,7 @@
     // Headers of an interim response do not belong to the final one.
     response_.headers.clear();
     length_known_ = false;
+    echoed_ = false;
     return true;
   }
   const size_t colon = line.find(':');
@@ -158,6 +159,13 @@
     }
   }
   if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) length_known_ = true;
+  const http_header& echo = request_.expected.echoed;
+  if (!echo.name.empty() && absl::EqualsIgnoreCase(name, echo.name)) {
+    foreign_ = value != echo.value;
+    // The connection is out of step, so libcurl has to close it.
+    if (foreign_) return false;
+    echoed_ = true;
+  }
   const bool keep = request_.method == "HEAD" && absl::EqualsIgnoreCase(name, "Content-Length");
   if (keep || !IsTransferHeader(name)) {
     response_.headers.push_back(
@@ -177,8 +185,20 @@
   return bytes;
 }
 
+absl::string_view curl_transfer::Missing() const {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  const expected_answer& expected = request_.expected;
+  if (!expected.echoed.name.empty() && !echoed_) return "the response does not name its request";
+  const bool success = response_.status >= kFirstSuccess && response_.status < kFirstRedirect;
+  if (success && !expected.present.empty() && !FindHeader(response_.headers, expected.present)) {
+    return "the response has no mark of its server";
+  }
+  return "";
+}
+
 bool curl_transfer::EndIsKnown() const {
-  return length_known_ || request_.method == "HEAD" || response_.status == 204 ||
+  return length_known_ || request_.expected.may_end_with_connection || request_.method == "HEAD" || response_.status == 204 ||
          response_.status == 304;
 }
 
@@ -194,6 +214,11 @@
     Fail(error_kind::kTargetFailed, "the response does not say where it ends");
     return;
   }
+  const absl::string_view missing = Missing();
+  if (!missing.empty()) {
+    Fail(error_kind::kTargetFailed, std::string(missing));
+    return;
+  }
   done_(std::move(response_));
 }
 
@@ -206,6 +231,7 @@
   if (too_large_) return {error_kind::kAnswerTooLarge, ""};
   if (sends_ == 0) return {error_kind::kTargetUnreachable, detail};
   if (code == CURLE_OPERATION_TIMEDOUT) return {error_kind::kDeadlineExceeded, ""};
+  if (foreign_) detail = "the response belongs to another request";
   if (code == CURLE_ABORTED_BY_CALLBACK) detail = "a kept connection ended without a response";
   return {error_kind::kTargetFailed, detail};
 }
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -57,6 +57,8 @@
   void SetHeaders();
   void SetLimits(const curl_client_settings& settings);
   bool ReadHeader(absl::string_view line);
+  /// Returns what the response lacks to be the expected one, or nothing.
+  absl::string_view Missing() const;
   error ErrorFor(CURLcode code) const;
   /// True when the message says where its body ends, or has none.
   bool EndIsKnown() const;
@@ -76,6 +78,9 @@
   int sends_ = 0;
   bool too_large_ = false;
   bool length_known_ = false;
+  /// True when the response belongs to another request.
+  bool foreign_ = false;
+  bool echoed_ = false;
 };
 
 }  // namespace teaseljunction
--- a/src/http/internal/disconnect_watcher.cc
+++ b/src/http/internal/disconnect_watcher.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <utility>
 
+#include "event_loop/event_loop.h"
 #include "http/internal/server_request.h"
 
 namespace teaseljunction {
@@ -32,9 +33,16 @@
   if (stop_fd_ >= 0) close(stop_fd_);
 }
 
-void disconnect_watcher::Start() { thread_ = std::thread(&disconnect_watcher::Run, this); }
+void disconnect_watcher::Start(event_loop* loop) {
+  if (loop == nullptr) {
+    thread_ = std::thread(&disconnect_watcher::Run, this);
+    return;
+  }
+  watch_ = loop->Watch(epoll_fd_, [this] { HandleEvents(0); });
+}
 
 void disconnect_watcher::Stop() {
+  watch_.reset();
   if (!thread_.joinable()) return;
   eventfd_write(stop_fd_, 1);
   thread_.join();
@@ -58,12 +66,18 @@
 }
 
 void disconnect_watcher::Run() {
+  while (HandleEvents(-1)) {
+  }
+}
+
+bool disconnect_watcher::HandleEvents(int timeout_ms) {
   std::array<epoll_event, kEventsPerWait> events;
-  while (true) {
-    const int count = epoll_wait(epoll_fd_, events.data(), kEventsPerWait, -1);
+  int count = 0;
+  do {
+    count = epoll_wait(epoll_fd_, events.data(), kEventsPerWait, timeout_ms);
     for (int i = 0; i < count; ++i) {
       const uint64_t id = events[i].data.u64;
-      if (id == kStopId) return;
+      if (id == kStopId) return false;
       std::shared_ptr<server_request> request;
       {
         absl::MutexLock lock(&mutex_);
@@ -72,7 +86,8 @@
       }
       if (request != nullptr) request->ClientGone();
     }
-  }
+  } while (count == kEventsPerWait);
+  return true;
 }
 
 }  // namespace teaseljunction
--- a/src/http/internal/disconnect_watcher.h
+++ b/src/http/internal/disconnect_watcher.h
@@ -10,9 +10,11 @@
 
 namespace teaseljunction {
 
+class event_loop;
+class input_watch;
 class server_request;
 
-/// Watches the sockets of suspended connections with one thread and tells their requests when the
+/// Watches the sockets of suspended connections, on a thread or an event loop, and tells their requests when the
 /// client has closed the connection. Events carry the id of the request and not the descriptor, so
 /// that an event for a descriptor that was closed and reused finds no request.
 class disconnect_watcher {
@@ -22,8 +24,10 @@
 
   /// True when the descriptors of the watcher could be opened.
   bool Usable() const { return epoll_fd_ >= 0 && stop_fd_ >= 0; }
-  void Start();
-  /// Ends the thread. Called while no request is suspended.
+  /// Watches on the thread of `loop`, or on an own thread when it is null.
+  void Start(event_loop* loop);
+  /// Ends the watch, on the thread of the loop if there is one. Called while no request is
+  /// suspended.
   void Stop();
 
   /// Watches `fd`, which must stay open until `Unwatch`, for `request`.
@@ -32,10 +36,14 @@
 
  private:
   void Run();
+  // Handles the events that are due, after waiting for `timeout_ms`; -1 waits for one. Returns
+  // false when the watch is to end.
+  bool HandleEvents(int timeout_ms);
 
   const int epoll_fd_;
   const int stop_fd_;
   std::thread thread_;
+  std::unique_ptr<input_watch> watch_;
   absl::Mutex mutex_;
   absl::flat_hash_map<uint64_t, std::weak_ptr<server_request>> requests_ ABSL_GUARDED_BY(mutex_);
 };
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -27,6 +27,8 @@
 /// Time for responses to leave in a stop at once.
 constexpr absl::Duration kFlushTime = absl::Milliseconds(250);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(2);
+/// Interval at which idle connections are looked for on a loop.
+constexpr absl::Duration kTimeoutCheckInterval = absl::Milliseconds(500);
 /// Memory of a connection beyond the request headers: response headers and body reads.
 constexpr size_t kConnectionExtraBytes = size_t{16} << 10;
 
@@ -78,10 +80,14 @@
   BOOST_LEAF_AUTO(fd, OpenListenSocket(address, false));
   listen_fd_ = fd;
   const uint16_t port = BoundPort(fd);
-  watcher_->Start();
-  daemon_ = StartDaemon();
-  if (daemon_ == nullptr) {
+  RunWhereServed([this] {
+    watcher_->Start(settings_.loop);
+    daemon_ = StartDaemon();
+    if (daemon_ != nullptr && (settings_.loop == nullptr || StartOnLoop())) return;
     watcher_->Stop();
+    if (daemon_ != nullptr) MHD_stop_daemon(std::exchange(daemon_, nullptr));
+  });
+  if (daemon_ == nullptr) {
     close(std::exchange(listen_fd_, -1));
     return Fail(error_kind::kInternal, "the HTTP server could not be started");
   }
@@ -92,15 +98,18 @@
 MHD_Daemon* http_server::impl::StartDaemon() {
   const auto timeout = static_cast<unsigned>(std::max<int64_t>(
       absl::ToInt64Seconds(absl::Ceil(settings_.idle_timeout, absl::Seconds(1))), 1));
+  const bool threaded = settings_.loop == nullptr;
   // The value 1 is refused with a warning; without the option there is one thread.
   std::vector<MHD_OptionItem> pool;
-  if (settings_.threads > 1) {
+  if (threaded && settings_.threads > 1) {
     pool.push_back(
         {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(settings_.threads), nullptr});
   }
   pool.push_back({MHD_OPTION_END, 0, nullptr});
   return MHD_start_daemon(
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      (threaded ? MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC : MHD_USE_EPOLL) |
+          MHD_ALLOW_SUSPEND_RESUME,
+      0, nullptr, nullptr,
       &impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, listen_fd_, MHD_OPTION_CONNECTION_LIMIT,
       std::max(settings_.max_connections, settings_.threads), MHD_OPTION_CONNECTION_TIMEOUT,
       timeout, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
@@ -110,6 +119,51 @@
       MHD_OPTION_ARRAY, pool.data(), MHD_OPTION_END);
 }
 
+bool http_server::impl::StartOnLoop() {
+  const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
+  if (info == nullptr || info->epoll_fd < 0) return false;
+  *serving_ = true;
+  watch_ = settings_.loop->Watch(info->epoll_fd, [this] { RequestRun(); });
+  CheckTimeouts();
+  return true;
+}
+
+void http_server::impl::RunWhereServed(absl::AnyInvocable<void()> task) {
+  if (settings_.loop == nullptr) return task();
+  settings_.loop->RunAndWait(std::move(task));
+}
+
+void http_server::impl::OnResumed() {
+  if (settings_.loop != nullptr) RequestRun();
+}
+
+void http_server::impl::RequestRun() {
+  if (run_requested_) return;
+  run_requested_ = true;
+  settings_.loop->AtTurnEnd([this, serving = serving_] {
+    if (*serving) RunDaemon();
+  });
+}
+
+void http_server::impl::RunDaemon() {
+  run_requested_ = false;
+  accepted_ = false;
+  MHD_run(daemon_);
+  MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+  // A wait of 0 ms means that connections are ready. One run accepts a bounded number of
+  // connections, and the others cause no further event.
+  const bool ready = MHD_get_timeout(daemon_, &wait_ms) == MHD_YES && wait_ms == 0;
+  if (ready || accepted_) RequestRun();
+}
+
+void http_server::impl::CheckTimeouts() {
+  RunDaemon();
+  timeout_timer_ = settings_.loop->RunAt(system_clock_source().Now() + kTimeoutCheckInterval,
+                                         [this, serving = serving_] {
+                                           if (*serving) CheckTimeouts();
+                                         });
+}
+
 void http_server::impl::OnConnection(void* cls, MHD_Connection* connection, void** context,
                                      MHD_ConnectionNotificationCode code) {
   auto* self = static_cast<impl*>(cls);
@@ -118,6 +172,7 @@
     state->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     state->remote_ip = RemoteIp(state->fd);
     *context = state;
+    if (self->settings_.loop != nullptr) self->accepted_ = true;
     absl::MutexLock lock(&self->mutex_);
     self->connections_.insert(state);
     return;
@@ -160,7 +215,7 @@
                                     void** context) {
   server_connection* state = StateOf(connection);
   if (state == nullptr) return MHD_NO;
-  auto request = std::make_shared<server_request>(++next_id_, connection, watcher_);
+  auto request = std::make_shared<server_request>(++next_id_, connection, watcher_, *this);
   *context = new std::shared_ptr<server_request>(request);
   request->message.method = method;
   request->head = request->message.method == MHD_HTTP_METHOD_HEAD;
@@ -211,7 +266,7 @@
   if (!request.handed) {
     if (request.refusal) return Refuse(connection, *request.refusal);
     if (!Register(request)) return Refuse(connection, {error_kind::kDraining, ""});
-    if (!request.Hand(handler_)) return MHD_YES;
+    if (!request.Hand(handler_, settings_.loop)) return MHD_YES;
   }
   absl::optional<http_response> response = request.TakeResponse();
   if (!response) return MHD_NO;
@@ -297,13 +352,12 @@
 }
 
 void http_server::impl::CloseListenSocket() {
-  quiesced_ = MHD_quiesce_daemon(daemon_) != MHD_INVALID_SOCKET;
+  RunWhereServed([this] { quiesced_ = MHD_quiesce_daemon(daemon_) != MHD_INVALID_SOCKET; });
   // Threads may still use the descriptor, so it is closed after the daemon has stopped.
   if (quiesced_) shutdown(listen_fd_, SHUT_RDWR);
 }
 
-void http_server::impl::Stop() {
-  if (daemon_ == nullptr) return;
+void http_server::impl::AnswerOpenRequests() {
   std::vector<std::shared_ptr<server_request>> open;
   {
     absl::MutexLock lock(&mutex_);
@@ -315,10 +369,20 @@
   for (const auto& request : open) {
     request->Respond(ProblemResponse({error_kind::kOutcomeUnknown, "the daemon stopped"}, ""));
   }
+}
+
+void http_server::impl::Stop() {
+  if (daemon_ == nullptr) return;
+  RunWhereServed([this] { AnswerOpenRequests(); });
   const absl::Time flushed = system_clock_source().Now() + kFlushTime;
   while (busy_ > 0 && system_clock_source().Now() < flushed) absl::SleepFor(kPollInterval);
-  MHD_stop_daemon(std::exchange(daemon_, nullptr));
-  watcher_->Stop();
+  RunWhereServed([this] {
+    *serving_ = false;
+    watch_.reset();
+    if (settings_.loop != nullptr) settings_.loop->Cancel(timeout_timer_);
+    MHD_stop_daemon(std::exchange(daemon_, nullptr));
+    watcher_->Stop();
+  });
   if (quiesced_) close(listen_fd_);
   listen_fd_ = -1;
   LOG(INFO) << "http: stopped";
--- a/src/http/internal/http_server_builder.cc
+++ b/src/http/internal/http_server_builder.cc
@@ -13,6 +13,11 @@
   return *this;
 }
 
+http_server_builder& http_server_builder::Loop(event_loop* loop) {
+  settings_.loop = loop;
+  return *this;
+}
+
 http_server_builder& http_server_builder::MaxBodyBytes(size_t bytes) {
   settings_.max_body_bytes = bytes;
   return *this;
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -13,6 +13,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/types/optional.h"
 #include "common/log_limiter.h"
+#include "event_loop/event_loop.h"
 #include "http/http_server.h"
 #include "http/internal/disconnect_watcher.h"
 #include "http/internal/server_request.h"
@@ -31,7 +32,7 @@
 };
 
 /// The daemon of libmicrohttpd with its callbacks.
-class http_server::impl {
+class http_server::impl : public resume_listener {
  public:
   impl(http_server_settings settings, http_handler* handler);
 
@@ -49,7 +50,16 @@
                            MHD_ConnectionNotificationCode code);
   static void* OnRequestLine(void* cls, const char* target, MHD_Connection* connection);
 
+  void OnResumed() override;
   MHD_Daemon* StartDaemon();
+  bool StartOnLoop();
+  // Runs `task` where libmicrohttpd is used: on the loop's thread, if there is a loop.
+  void RunWhereServed(absl::AnyInvocable<void()> task);
+  // Arranges for the daemon to handle its events at the end of the loop's turn.
+  void RequestRun();
+  void RunDaemon();
+  void CheckTimeouts();
+  void AnswerOpenRequests();
   MHD_Result Begin(MHD_Connection* connection, const char* method, void** context);
   MHD_Result Finish(MHD_Connection* connection, server_request& request);
   /// Returns why a request is refused when its headers have arrived, or nothing.
@@ -70,6 +80,13 @@
   MHD_Daemon* daemon_ = nullptr;
   int listen_fd_ = -1;
   bool quiesced_ = false;
+  // With a loop, used on its thread only.
+  std::unique_ptr<input_watch> watch_;
+  bool run_requested_ = false;
+  bool accepted_ = false;
+  uint64_t timeout_timer_ = 0;
+  // Lets tasks of the loop find out that the server has stopped.
+  std::shared_ptr<bool> serving_ = std::make_shared<bool>(false);
   std::atomic<bool> draining_ = false;
   std::atomic<uint64_t> next_id_ = 0;
   std::atomic<int64_t> busy_ = 0;
--- a/src/http/internal/problem.cc
+++ b/src/http/internal/problem.cc
@@ -29,6 +29,12 @@
   out->push_back('"');
 }
 
+std::string RetryAfterText(absl::Duration wait, bool fractional) {
+  if (fractional) return absl::StrFormat("%.3f", absl::ToDoubleSeconds(wait));
+  const int64_t seconds = absl::ToInt64Seconds(absl::Ceil(wait, absl::Seconds(1)));
+  return absl::StrCat(std::max<int64_t>(seconds, 1));
+}
+
 void AppendMember(absl::string_view name, absl::string_view value, std::string* out) {
   absl::StrAppend(out, ",\"", name, "\":");
   AppendJsonString(value, out);
@@ -37,7 +43,7 @@
 }  // namespace
 
 http_response ProblemResponse(const error& failure, absl::string_view request_id,
-                              absl::optional<absl::Duration> retry_after) {
+                              absl::optional<absl::Duration> retry_after, bool fractional) {
   const error_answer& answer = AnswerFor(failure.kind);
   http_response response;
   response.status = answer.status;
@@ -45,10 +51,8 @@
   response.headers.push_back(
       {"Teaseljunction-Outcome", answer.run == run_state::kNotRun ? "not-run" : "may-have-run"});
   if (answer.retry_after) {
-    const absl::Duration wait =
-        absl::Ceil(retry_after.value_or(kDefaultRetryAfter), absl::Seconds(1));
-    const int64_t seconds = std::max<int64_t>(absl::ToInt64Seconds(wait), 1);
-    response.headers.push_back({"Retry-After", absl::StrCat(seconds)});
+    response.headers.push_back(
+        {"Retry-After", RetryAfterText(retry_after.value_or(kDefaultRetryAfter), fractional)});
   }
   std::string& body = response.body;
   absl::StrAppend(&body, "{\"type\":\"urn:teaseljunction:error:", answer.name, "\"");
--- a/src/http/internal/server_request.cc
+++ b/src/http/internal/server_request.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "event_loop/event_loop.h"
 #include "http/problem.h"
 
 namespace teaseljunction {
@@ -15,15 +16,20 @@
 
 class request_exchange : public http_exchange {
  public:
-  explicit request_exchange(std::shared_ptr<server_request> request)
-      : request_(std::move(request)) {}
+  request_exchange(std::shared_ptr<server_request> request, event_loop* loop)
+      : request_(std::move(request)), loop_(loop) {}
 
   ~request_exchange() override {
     if (!request_->AwaitsResponse()) return;
-    request_->Respond(ProblemResponse({error_kind::kInternal, "no response was produced"}, ""));
+    Respond(ProblemResponse({error_kind::kInternal, "no response was produced"}, ""));
   }
 
-  void Respond(http_response response) override { request_->Respond(std::move(response)); }
+  void Respond(http_response response) override {
+    if (loop_ == nullptr) return request_->Respond(std::move(response));
+    loop_->Run([request = request_, response = std::move(response)]() mutable {
+      request->Respond(std::move(response));
+    });
+  }
 
   void OnDisconnect(absl::AnyInvocable<void()> callback) override {
     request_->OnDisconnect(std::move(callback));
@@ -31,13 +37,19 @@
 
  private:
   const std::shared_ptr<server_request> request_;
+  event_loop* const loop_;
 };
 
 }  // namespace
 
 server_request::server_request(uint64_t id, MHD_Connection* connection,
-                               std::shared_ptr<disconnect_watcher> watcher)
-    : id_(id), connection_(connection), fd_(SocketOf(connection)), watcher_(std::move(watcher)) {}
+                               std::shared_ptr<disconnect_watcher> watcher,
+                               resume_listener& listener)
+    : id_(id),
+      connection_(connection),
+      fd_(SocketOf(connection)),
+      watcher_(std::move(watcher)),
+      listener_(listener) {}
 
 bool server_request::AppendBody(absl::string_view data, size_t limit) {
   if (!refusal && data.size() > limit - message.body.size()) {
@@ -52,13 +64,13 @@
   return true;
 }
 
-bool server_request::Hand(http_handler* handler) {
+bool server_request::Hand(http_handler* handler, event_loop* loop) {
   {
     absl::MutexLock lock(&mutex_);
     phase_ = phase::kHandling;
   }
   handed = true;
-  handler->Handle(std::move(message), MakeExchange(shared_from_this()));
+  handler->Handle(std::move(message), MakeExchange(shared_from_this(), loop));
   absl::MutexLock lock(&mutex_);
   if (responded_) return true;
   phase_ = phase::kSuspended;
@@ -136,10 +148,12 @@
   // The descriptor belongs to the suspended connection; after the resume it may be closed.
   if (watched_) watcher_->Unwatch(id_, fd_);
   MHD_resume_connection(connection_);
+  listener_.OnResumed();
 }
 
-std::shared_ptr<http_exchange> MakeExchange(std::shared_ptr<server_request> request) {
-  return std::make_shared<request_exchange>(std::move(request));
+std::shared_ptr<http_exchange> MakeExchange(std::shared_ptr<server_request> request,
+                                            event_loop* loop) {
+  return std::make_shared<request_exchange>(std::move(request), loop);
 }
 
 }  // namespace teaseljunction
--- a/src/http/internal/server_request.h
+++ b/src/http/internal/server_request.h
@@ -18,12 +18,22 @@
 
 namespace teaseljunction {
 
+class event_loop;
+
+/// Is told when a suspended connection may go on, on the thread that resumed it.
+class resume_listener {
+ public:
+  virtual ~resume_listener() = default;
+  virtual void OnResumed() = 0;
+};
+
 /// One request of a connection, from its headers to the end of its response. Shared by the server
 /// and the handler's exchange; thread-safe from `Hand` on.
 class server_request : public std::enable_shared_from_this<server_request> {
  public:
+  /// `listener` outlives the connection.
   server_request(uint64_t id, MHD_Connection* connection,
-                 std::shared_ptr<disconnect_watcher> watcher);
+                 std::shared_ptr<disconnect_watcher> watcher, resume_listener& listener);
 
   /// Adds a part of the body. Once the body is larger than `limit` the request is refused and the
   /// rest is dropped, so that the client can read the response. Returns false when too much was
@@ -32,7 +42,7 @@
 
   /// Passes the received request to the handler. Returns true when it has responded already;
   /// otherwise the connection is suspended until it does.
-  bool Hand(http_handler* handler);
+  bool Hand(http_handler* handler, event_loop* loop);
 
   /// Takes the response, or nothing when the connection is to be closed.
   absl::optional<http_response> TakeResponse();
@@ -69,6 +79,7 @@
   MHD_Connection* const connection_;
   const int fd_;
   const std::shared_ptr<disconnect_watcher> watcher_;
+  resume_listener& listener_;
   size_t dropped_bytes_ = 0;
   absl::Mutex mutex_;
   phase phase_ ABSL_GUARDED_BY(mutex_) = phase::kReceiving;
@@ -83,7 +94,9 @@
 constexpr size_t kMaxDroppedBytes = size_t{16} << 20;
 
 /// Returns the handler's view of `request`. When the handler drops it without a response, the
-/// request is answered with kInternal.
-std::shared_ptr<http_exchange> MakeExchange(std::shared_ptr<server_request> request);
+/// request is answered with kInternal. With a `loop`, responses from other threads are passed on to
+/// its thread.
+std::shared_ptr<http_exchange> MakeExchange(std::shared_ptr<server_request> request,
+                                            event_loop* loop);
 
 }  // namespace teaseljunction
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
+#include "event_loop/event_loop.h"
 #include "http/tests/raw_socket.h"
 
 namespace teaseljunction {
@@ -30,6 +31,14 @@
   return future;
 }
 
+/// A client on own threads, or on an event loop.
+curl_client_builder Builder() {
+  static const system_clock_source clock;
+  static event_loop loop(clock);
+  const bool on_loop = GENERATE(false, true);
+  return curl_client_builder().Loop(on_loop ? &loop : nullptr);
+}
+
 error_kind KindOf(const http_outcome& done) {
   REQUIRE(done.index() == 1);
   return std::get<1>(done).kind;
@@ -71,7 +80,7 @@
       {"headers over the limit", Response("A: " + std::string(80000, 'x') + "\r\n", ""),
        error_kind::kAnswerTooLarge},
   };
-  const auto client = curl_client_builder().MaxResponseBytes(1000).Build();
+  const auto client = Builder().MaxResponseBytes(1000).Build();
   for (const fault_case& fault : cases) {
     for (const bool at_most_once : {false, true}) {
       INFO(fault.name << ", at most once " << at_most_once);
@@ -94,7 +103,7 @@
     connection.Write("HTTP/1.1 100 Continue\r\nX-Interim: 1\r\n\r\n");
     connection.Write("HTTP/1.1 201 Created\r\nX-Reply: 2\r\nContent-Length: 3\r\n\r\nabc");
   });
-  const auto client = curl_client_builder().Build();
+  const auto client = Builder().Build();
   const http_outcome done = SendAsync(*client, server.address(), false, kLong).get();
   REQUIRE(done.index() == 0);
   CHECK(std::get<0>(done).status == 201);
@@ -119,7 +128,7 @@
       connection.Write(Response("Content-Length: 0\r\n", ""));
     }
   });
-  const auto client = curl_client_builder().Threads(1).Build();
+  const auto client = Builder().Threads(1).Build();
   REQUIRE(SendAsync(*client, server.address(), false, kLong).get().index() == 0);
   answer = false;
   CHECK(KindOf(SendAsync(*client, server.address(), at_most_once, kLong).get()) ==
@@ -129,7 +138,7 @@
 
 // Guards against "not run" for a request that was sent, and against a caller that waits forever.
 TEST_CASE("unreachable, silent and cancelled") {
-  const auto client = curl_client_builder().Build();
+  const auto client = Builder().Build();
   CHECK(KindOf(SendAsync(*client, ClosedAddress(), true, kLong).get()) ==
         error_kind::kTargetUnreachable);
   absl::Notification end;
@@ -149,7 +158,7 @@
 // Guards against a completion that is lost when the client is destroyed.
 TEST_CASE("running requests are completed at shutdown") {
   raw_server server([](raw_socket& connection) { connection.ReadAll(); });
-  auto client = curl_client_builder().Build();
+  auto client = Builder().Build();
   std::vector<std::future<http_outcome>> running;
   for (int i = 0; i < 20; ++i) running.push_back(SendAsync(*client, server.address(), true, kLong));
   client.reset();
@@ -158,7 +167,7 @@
 
 // Guards against header or request line injection by a value with a line break.
 TEST_CASE("malformed requests are not sent") {
-  const auto client = curl_client_builder().Build();
+  const auto client = Builder().Build();
   for (const http_request& request :
        std::vector<http_request>{{"GET", "/a b", {}, ""},
                                  {"GET", "/a\r\nX: 1", {}, ""},
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
+#include "event_loop/event_loop.h"
 #include "http/problem.h"
 #include "http/tests/raw_socket.h"
 
@@ -50,9 +51,12 @@
 struct running_server {
   explicit running_server(handle_function handle, absl::Duration idle = absl::Seconds(30))
       : handler(std::move(handle)) {
+    const bool on_loop = GENERATE(false, true);
+    if (on_loop) loop = std::make_unique<event_loop>(clock);
     server = http_server_builder()
                  .Address("127.0.0.1:0")
                  .Threads(2)
+                 .Loop(loop.get())
                  .MaxBodyBytes(1000)
                  .MaxHeaderBytes(4096)
                  .IdleTimeout(idle)
@@ -64,6 +68,8 @@
     port = std::get<0>(started);
   }
 
+  const system_clock_source clock;
+  std::unique_ptr<event_loop> loop;
   function_handler handler;
   std::unique_ptr<http_server> server;
   uint16_t port = 0;
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -7,6 +7,16 @@
 
 namespace teaseljunction {
 
+/// What the answer to a request must have to count as its answer.
+struct expected_answer {
+  /// Header that the server repeats; no check when its name is empty.
+  http_header echoed;
+  /// Name of a header that successful answers have; no check when it is empty.
+  std::string present;
+  /// True when an answer without a length may end with its connection.
+  bool may_end_with_connection = false;
+};
+
 /// A whole HTTP request, received or to be sent.
 struct http_request {
   std::string method;
@@ -16,6 +26,8 @@
   std::string body;
   /// IP address of the client of a received request; empty in requests to be sent.
   std::string remote_ip;
+  /// Checks of the answer to a request to be sent.
+  expected_answer expected;
 };
 
 /// A whole HTTP response, to be sent or received.
--- a/src/manifest/internal/manifest_index.cc
+++ b/src/manifest/internal/manifest_index.cc
@@ -56,7 +56,10 @@
 }  // namespace
 
 manifest_index::manifest_index(manifest source)
-    : manifest_(std::move(source)), digest_(ManifestDigest(manifest_)) {
+    : manifest_index(source, ManifestDigest(source), EncodeManifest(source)) {}
+
+manifest_index::manifest_index(manifest source, std::string digest, std::string content)
+    : manifest_(std::move(source)), content_(std::move(content)), digest_(std::move(digest)) {
   for (const client_account& account : manifest_.client_accounts) {
     accounts_.emplace(account.name, &account);
     for (const std::string& digest : account.key_digests) {
@@ -68,7 +71,8 @@
     absl::string_view path = entry.path;
     const bool prefix = absl::EndsWith(path, "/*");
     if (prefix) path.remove_suffix(1);
-    (prefix ? prefix_routes_ : exact_routes_).emplace(route_key(path, entry.method), &entry);
+    (prefix ? prefix_routes_ : exact_routes_).emplace(route_key(path, entry.method, entry.host),
+                                                          &entry);
     if (prefix) longest_prefix_ = std::max(longest_prefix_, path.size());
   }
 }
@@ -88,38 +92,52 @@
   return found == services_.end() ? nullptr : found->second;
 }
 
-const route* manifest_index::FindNormalised(absl::string_view method,
+const route* manifest_index::FindInTable(const route_table& table, absl::string_view host,
+                                         absl::string_view method, absl::string_view path) const {
+  for (const absl::string_view wanted_host : {host, absl::string_view()}) {
+    for (const absl::string_view wanted_method : {method, absl::string_view()}) {
+      const auto found = table.find(route_key(path, wanted_method, wanted_host));
+      if (found != table.end()) return found->second;
+    }
+  }
+  return nullptr;
+}
+
+const route* manifest_index::FindNormalised(absl::string_view host, absl::string_view method,
                                             absl::string_view path) const {
-  const auto exact = exact_routes_.find(route_key(path, method));
-  if (exact != exact_routes_.end()) return exact->second;
+  if (!exact_routes_.empty()) {
+    const route* exact = FindInTable(exact_routes_, host, method, path);
+    if (exact != nullptr) return exact;
+  }
   // Bounds the work for long paths: no prefix is longer than the longest one of the manifest.
   absl::string_view prefix = path.substr(0, longest_prefix_);
   while (true) {
     const size_t slash = prefix.rfind('/');
     if (slash == absl::string_view::npos) return nullptr;
     prefix = prefix.substr(0, slash + 1);
-    const auto found = prefix_routes_.find(route_key(prefix, method));
-    if (found != prefix_routes_.end()) return found->second;
+    const route* found = FindInTable(prefix_routes_, host, method, prefix);
+    if (found != nullptr) return found;
     prefix.remove_suffix(1);
   }
 }
 
-route_match manifest_index::FindRoute(absl::string_view method, absl::string_view path) const {
+route_match manifest_index::FindRoute(absl::string_view host, absl::string_view method,
+                                      absl::string_view path) const {
   route_match match;
   absl::optional<std::string> decoded;
-  if (absl::StrContains(path, '%')) {
+  if (!manifest_.literal_paths && absl::StrContains(path, '%')) {
     decoded = DecodeUnreserved(path);
     if (!decoded.has_value()) return match;
     path = *decoded;
   }
-  if (HasDotOrEmptySegment(path)) return match;
-  match.matched = FindNormalised(method, path);
+  if (!manifest_.literal_paths && HasDotOrEmptySegment(path)) return match;
+  match.matched = FindNormalised(host, method, path);
   if (match.matched != nullptr) {
     match.target_service = FindService(match.matched->service);
     return match;
   }
   for (const absl::string_view other : kMethods) {
-    if (FindNormalised(other, path) == nullptr) continue;
+    if (FindNormalised(host, other, path) == nullptr) continue;
     absl::StrAppend(&match.allow, match.allow.empty() ? "" : ", ", other);
   }
   if (!match.allow.empty()) match.failure = error_kind::kMethodNotAllowed;
--- a/src/manifest/manifest_index.h
+++ b/src/manifest/manifest_index.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -27,6 +28,8 @@
  public:
   /// `source` must be valid, as `DecodeManifest` returns it.
   explicit manifest_index(manifest source);
+  /// `digest` and `content` are those of the text from which `source` was decoded.
+  manifest_index(manifest source, std::string digest, std::string content);
   manifest_index(const manifest_index&) = delete;
   manifest_index& operator=(const manifest_index&) = delete;
 
@@ -36,28 +39,37 @@
   /// Returns the account with this name, or null.
   const client_account* FindAccount(absl::string_view name) const;
 
-  /// Finds the route of a request. `path` has no query. Among the routes with this method an exact
-  /// path wins, then the longest prefix. Percent-encoded unreserved characters are decoded first.
+  /// Finds the route of a request. `path` has no query. Among the routes with this host and method
+  /// an exact path wins, then the longest prefix. A route for one host comes before a route for any
+  /// host, and one for the method before one for any method. Unless paths are literal, percent-encoded unreserved characters are decoded first.
   /// A path with "." or ".." segments, empty inner segments or a broken encoding matches no route,
   /// because a target could resolve it to a path with another route.
-  route_match FindRoute(absl::string_view method, absl::string_view path) const;
+  route_match FindRoute(absl::string_view host, absl::string_view method,
+                        absl::string_view path) const;
 
   /// Returns the service with this name, or null.
   const service* FindService(absl::string_view name) const;
 
   const manifest& Manifest() const { return manifest_; }
 
-  /// SHA-256 digest of the canonical JSON text.
+  /// Digest of `Content`.
   const std::string& Digest() const { return digest_; }
 
+  /// The text of the manifest; the canonical JSON text when it was not given.
+  const std::string& Content() const { return content_; }
+
  private:
-  // Path, method. The path of a prefix route ends with "/".
-  using route_key = std::pair<absl::string_view, absl::string_view>;
+  // Path, method, host. The path of a prefix route ends with "/".
+  using route_key = std::tuple<absl::string_view, absl::string_view, absl::string_view>;
   using route_table = absl::flat_hash_map<route_key, const route*>;
 
-  const route* FindNormalised(absl::string_view method, absl::string_view path) const;
+  const route* FindInTable(const route_table& table, absl::string_view host,
+                           absl::string_view method, absl::string_view path) const;
+  const route* FindNormalised(absl::string_view host, absl::string_view method,
+                              absl::string_view path) const;
 
   const manifest manifest_;
+  const std::string content_;
   const std::string digest_;
   absl::flat_hash_map<absl::string_view, const client_account*> accounts_by_key_;
   absl::flat_hash_map<absl::string_view, const client_account*> accounts_;
--- a/src/manifest/tests/manifest_index_test.cc
+++ b/src/manifest/tests/manifest_index_test.cc
@@ -56,7 +56,7 @@
   const manifest_index index(Sample());
   for (const lookup_case& checked : cases) {
     INFO(checked.method << " " << checked.path);
-    const route_match match = index.FindRoute(checked.method, checked.path);
+    const route_match match = index.FindRoute("", checked.method, checked.path);
     CHECK((match.matched == nullptr ? "" : match.matched->name) == checked.route);
     if (match.matched == nullptr) {
       CHECK(match.failure == checked.failure);
@@ -66,7 +66,7 @@
       CHECK(match.target_service->name == match.matched->service);
     }
   }
-  CHECK(index.FindRoute("GET", "/orders").allow == "POST");
+  CHECK(index.FindRoute("", "GET", "/orders").allow == "POST");
 }
 
 // Guards against a request that is run for another account than its key's.
@@ -86,7 +86,7 @@
 // Guards against an index of no manifest that finds something.
 TEST_CASE("an empty index finds nothing") {
   const manifest_index index{manifest{}};
-  CHECK(index.FindRoute("GET", "/").failure == error_kind::kRouteUnknown);
+  CHECK(index.FindRoute("", "GET", "/").failure == error_kind::kRouteUnknown);
   CHECK(index.FindAccountByKeyDigest("sha256:") == nullptr);
 }
 
--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
@@ -31,6 +32,12 @@
   /// the daemon is too far behind. `settled` is as of the last `Heartbeat` or `Expire`.
   directory_update Since(uint64_t epoch, uint64_t version) const;
 
+  /// Returns the daemons that are present.
+  std::vector<daemon_announcement> Daemons() const;
+
+  /// Returns the latest known incarnation of a daemon, 0 when it is unknown.
+  uint64_t KnownIncarnation(absl::string_view daemon_id) const;
+
   /// True when the term is one lease old, so that each daemon has had the time for a heartbeat.
   bool Settled(absl::Time now) const;
 
--- a/src/membership/internal/directory.cc
+++ b/src/membership/internal/directory.cc
@@ -126,4 +126,17 @@
   return update;
 }
 
+std::vector<daemon_announcement> directory::Daemons() const {
+  std::vector<daemon_announcement> daemons;
+  for (const auto& [id, member] : members_) {
+    if (member.present) daemons.push_back(member.daemon);
+  }
+  return daemons;
+}
+
+uint64_t directory::KnownIncarnation(absl::string_view daemon_id) const {
+  const auto found = members_.find(daemon_id);
+  return found == members_.end() ? 0 : found->second.daemon.incarnation;
+}
+
 }  // namespace teaseljunction
--- a/src/membership/internal/target_lease.cc
+++ b/src/membership/internal/target_lease.cc
@@ -1,5 +1,7 @@
 #include "membership/target_lease.h"
 
+#include <algorithm>
+
 namespace teaseljunction {
 
 announce_result target_lease::Announce(const target_announcement& announcement, absl::Time now) {
@@ -12,11 +14,13 @@
     highest_incarnation_ = announcement.incarnation;
     withdrawn_ = false;
     draining_ = false;
+    draining_since_ = absl::InfiniteFuture();
   }
   draining_ = draining_ || announcement.draining;
+  if (draining_) draining_since_ = std::min(draining_since_, now);
   target_ = announcement;
   target_->draining = draining_;
-  expiry_ = now + kMembershipLease;
+  expiry_ = now + duration_;
   if (!had_target) return announce_result::kJoined;
   return later ? announce_result::kReplaced : announce_result::kRenewed;
 }
@@ -33,6 +37,7 @@
   Expire(now);
   if (!target_ || target_->incarnation != incarnation) return false;
   draining_ = true;
+  draining_since_ = std::min(draining_since_, now);
   target_->draining = true;
   return true;
 }
--- a/src/membership/target_lease.h
+++ b/src/membership/target_lease.h
@@ -26,6 +26,9 @@
 /// The target beside this daemon. A target renews its announcement within the lease.
 class target_lease {
  public:
+  /// `duration` is the time for which an announcement is valid.
+  explicit target_lease(absl::Duration duration = kMembershipLease) : duration_(duration) {}
+
   /// Processes an announcement. An earlier incarnation never replaces a later one, not even after
   /// the lease has expired. Draining is permanent for an incarnation, so that a delayed
   /// announcement does not bring new work to a target that is leaving.
@@ -38,6 +41,9 @@
   /// Marks this incarnation as draining. Returns false when another incarnation is current.
   bool Drain(uint64_t incarnation, absl::Time now);
 
+  /// Time at which the target was first known to drain; InfiniteFuture when it does not.
+  absl::Time DrainingSince() const { return draining_since_; }
+
   /// Removes the target when its lease has expired. Returns true when it did so.
   bool Expire(absl::Time now);
 
@@ -45,6 +51,7 @@
   absl::optional<target_announcement> Current(absl::Time now) const;
 
  private:
+  absl::Duration duration_;
   absl::optional<target_announcement> target_;
   absl::Time expiry_ = absl::InfinitePast();
   /// Highest incarnation that was announced or withdrawn.
@@ -52,6 +59,7 @@
   bool withdrawn_ = false;
   /// Draining state of `highest_incarnation_`.
   bool draining_ = false;
+  absl::Time draining_since_ = absl::InfiniteFuture();
 };
 
 }  // namespace teaseljunction
--- a/src/membership/types.h
+++ b/src/membership/types.h
@@ -21,6 +21,8 @@
   double load = 0;
   /// Address of the target's HTTP server, "IP:port".
   std::string address;
+  /// Name of the target's process, told with each request; empty when the target has none.
+  std::string target_id;
   bool operator==(const target_announcement&) const = default;
 };
 
@@ -37,6 +39,8 @@
   bool draining = false;
   /// Version of the manifest that the daemon has in force, for the operators' view.
   uint64_t manifest_version = 0;
+  /// Id of the control member in this daemon, 0 when there is none.
+  uint64_t control_member_id = 0;
   bool operator==(const daemon_announcement&) const = default;
 };
 
--- a/src/rpc/internal/convert.h
+++ b/src/rpc/internal/convert.h
@@ -32,6 +32,7 @@
 void Encode(const std::string& message, wire::Node::RaftParams::Builder out);
 inline void Encode(const no_params&, wire::Node::ManifestParams::Builder) {}
 inline void Encode(const no_params&, wire::Node::StatusParams::Builder) {}
+inline void Encode(const no_params&, wire::Node::RefreshParams::Builder) {}
 
 call Decode(wire::Call::Reader in);
 call_answer Decode(wire::Answer::Reader in);
--- a/src/rpc/internal/convert_command.cc
+++ b/src/rpc/internal/convert_command.cc
@@ -13,7 +13,10 @@
 
   void operator()(const std::monostate&) { out.setEmpty(); }
   void operator()(const submit_manifest& value) {
-    Encode(manifest_record{value.version, value.digest, value.content}, out.initSubmitManifest());
+    auto submission = out.initSubmitManifest();
+    Encode(manifest_record{value.version, value.digest, value.content}, submission);
+    submission.setHasBase(value.base.has_value());
+    submission.setBase(value.base.value_or(0));
   }
   void operator()(const claim& value) {
     auto claimed = out.initClaim();
@@ -65,7 +68,9 @@
 }
 
 submit_manifest DecodeSubmission(wire::Manifest::Reader in) {
-  return {in.getVersion(), FromText(in.getDigest()), FromText(in.getContent())};
+  submit_manifest value{in.getVersion(), FromText(in.getDigest()), FromText(in.getContent()), {}};
+  if (in.getHasBase()) value.base = in.getBase();
+  return value;
 }
 
 }  // namespace
--- a/src/rpc/internal/convert_sync.cc
+++ b/src/rpc/internal/convert_sync.cc
@@ -10,6 +10,7 @@
   out.setDraining(value.draining);
   out.setLoad(value.load);
   out.setAddress(ToText(value.address));
+  out.setTargetId(ToText(value.target_id));
 }
 
 target_announcement Decode(wire::Target::Reader in) {
@@ -20,6 +21,7 @@
   value.draining = in.getDraining();
   value.load = in.getLoad();
   value.address = FromText(in.getAddress());
+  value.target_id = FromText(in.getTargetId());
   return value;
 }
 
@@ -88,6 +90,7 @@
   if (value.target) Encode(*value.target, out.initTarget());
   out.setDraining(value.draining);
   out.setManifestVersion(value.manifest_version);
+  out.setControlMemberId(value.control_member_id);
 }
 
 daemon_announcement Decode(wire::Daemon::Reader in) {
@@ -99,6 +102,7 @@
   if (in.hasTarget()) value.target = Decode(in.getTarget());
   value.draining = in.getDraining();
   value.manifest_version = in.getManifestVersion();
+  value.control_member_id = in.getControlMemberId();
   return value;
 }
 
@@ -144,6 +148,11 @@
   }
   auto suspects = out.initSuspects(value.suspects.size());
   for (unsigned i = 0; i < suspects.size(); ++i) suspects.set(i, ToText(value.suspects[i]));
+  out.setOutdatedBy(value.outdated_by);
+  auto addresses = out.initControlAddresses(value.control_addresses.size());
+  for (unsigned i = 0; i < addresses.size(); ++i) {
+    addresses.set(i, ToText(value.control_addresses[i]));
+  }
 }
 
 sync_response Decode(wire::SyncResponse::Reader in) {
@@ -163,6 +172,10 @@
   for (const auto fingerprint : in.getSuspects()) {
     value.suspects.push_back(FromText(fingerprint));
   }
+  value.outdated_by = in.getOutdatedBy();
+  for (const auto address : in.getControlAddresses()) {
+    value.control_addresses.push_back(FromText(address));
+  }
   return value;
 }
 
--- a/src/rpc/internal/kj_support.cc
+++ b/src/rpc/internal/kj_support.cc
@@ -25,10 +25,6 @@
   LOG(WARNING) << "rpc: " << line << (*left_out > 0 ? absl::StrCat(", ", *left_out, " more") : "");
 }
 
-void kj_log::logMessage(kj::LogSeverity, const char*, int, int, kj::String&& text) {
-  LogRpcLimited(limiter_, absl::string_view(text.begin(), text.size()));
-}
-
 kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> logged_message_stream::tryReadMessage(
     kj::ArrayPtr<kj::AutoCloseFd> fds, capnp::ReaderOptions options,
     kj::ArrayPtr<capnp::word> scratch) {
--- a/src/rpc/internal/kj_support.h
+++ b/src/rpc/internal/kj_support.h
@@ -17,18 +17,6 @@
 /// Writes a line of the RPC module at a bounded rate.
 void LogRpcLimited(log_limiter& limiter, absl::string_view line);
 
-/// Sends KJ's own messages on this thread to the log, at a bounded rate. Lives on the stack.
-class kj_log : public kj::ExceptionCallback {
- public:
-  explicit kj_log(log_limiter& limiter) : limiter_(limiter) {}
-  void logMessage(kj::LogSeverity severity, const char* file, int line, int depth,
-                  kj::String&& text) override;
-  StackTraceMode stackTraceMode() override { return StackTraceMode::NONE; }
-
- private:
-  log_limiter& limiter_;
-};
-
 /// Messages over a socket. Logs why reading failed, which the RPC system does not tell.
 class logged_message_stream final : public capnp::MessageStream {
  public:
--- a/src/rpc/internal/node_impl.cc
+++ b/src/rpc/internal/node_impl.cc
@@ -60,4 +60,9 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> node_impl::refresh(RefreshContext) {
+  service_.Refresh();
+  return kj::READY_NOW;
+}
+
 }  // namespace teaseljunction
--- a/src/rpc/internal/node_impl.h
+++ b/src/rpc/internal/node_impl.h
@@ -11,7 +11,7 @@
 #include "absl/functional/any_invocable.h"
 #include "node.capnp.h"
 #include "rpc/internal/convert.h"
-#include "rpc/internal/loop_queue.h"
+#include "event_loop/loop_queue.h"
 #include "rpc/node_service.h"
 
 namespace teaseljunction {
@@ -22,16 +22,21 @@
   std::atomic<uint64_t> started = 0;
 };
 
-/// Completions from any thread to the loop of their call.
-using completion_queue = loop_queue<absl::AnyInvocable<void()>>;
+/// Takes completions from any thread to the loop of their call. Drops them once the loop's calls
+/// have gone.
+class completion_sink {
+ public:
+  virtual ~completion_sink() = default;
+  virtual void Post(absl::AnyInvocable<void()> task) = 0;
+};
 
 /// Calls of one loop that wait for the service. Used on the loop's thread only. A completion from
 /// another thread carries the id of its call, so that nothing of the loop is touched or destroyed
 /// elsewhere, and it is dropped when the call or the loop has gone.
 class waiting_calls {
  public:
-  waiting_calls(std::shared_ptr<completion_queue> queue, server_activity& activity)
-      : queue_(std::move(queue)), activity_(activity) {}
+  waiting_calls(std::shared_ptr<completion_sink> sink, server_activity& activity)
+      : sink_(std::move(sink)), activity_(activity) {}
 
   /// Calls `start` with a completion and returns a promise that ends when `deliver` has taken the
   /// result. When the promise is dropped first, it cancels the execution that `start` returned.
@@ -64,11 +69,10 @@
 
   template <class Result>
   absl::AnyInvocable<void(Result)> Completion(uint64_t id) {
-    return [this, queue = queue_, id](Result result) {
-      absl::AnyInvocable<void()> task = [this, id, result = std::move(result)]() mutable {
+    return [this, sink = sink_, id](Result result) {
+      sink->Post([this, id, result = std::move(result)]() mutable {
         Complete(id, std::move(result));
-      };
-      queue->Post(task);
+      });
     };
   }
 
@@ -85,7 +89,7 @@
     });
   }
 
-  const std::shared_ptr<completion_queue> queue_;
+  const std::shared_ptr<completion_sink> sink_;
   server_activity& activity_;
   uint64_t next_id_ = 0;
   absl::flat_hash_map<uint64_t, std::unique_ptr<waiting_call>> calls_;
@@ -104,6 +108,7 @@
   kj::Promise<void> raft(RaftContext context) override;
   kj::Promise<void> manifest(ManifestContext context) override;
   kj::Promise<void> status(StatusContext context) override;
+  kj::Promise<void> refresh(RefreshContext context) override;
   // NOLINTEND(readability-identifier-naming)
 
  private:
--- a/src/rpc/internal/pending_call.h
+++ b/src/rpc/internal/pending_call.h
@@ -99,6 +99,16 @@
 
 inline no_params Decode(wire::Node::RaftResults::Reader) { return {}; }
 
+struct refresh_method {
+  using params = no_params;
+  using results = no_params;
+  static auto Request(wire::Node::Client& node, capnp::MessageSize size) {
+    return node.refreshRequest(size);
+  }
+};
+
+inline no_params Decode(wire::Node::RefreshResults::Reader) { return {}; }
+
 template <class Method>
 class typed_call final : public pending_call {
  public:
--- a/src/rpc/internal/rpc_peer_client.cc
+++ b/src/rpc/internal/rpc_peer_client.cc
@@ -5,19 +5,26 @@
 
 #include "absl/hash/hash.h"
 #include "rpc/internal/pending_call.h"
-#include "rpc/internal/rpc_worker.h"
+#include "rpc/internal/rpc_on_loop.h"
+#include "rpc/internal/rpc_thread.h"
 
 namespace teaseljunction {
 namespace {
 
 /// Messages between control members are repeated by their sender, so an old one is of no use.
 constexpr absl::Duration kRaftTimeout = absl::Seconds(2);
+/// A daemon that is not reached in this time learns of the change with its regular sync.
+constexpr absl::Duration kRefreshTimeout = absl::Seconds(1);
 
 }  // namespace
 
 rpc_peer_client::rpc_peer_client(const rpc_peer_client_settings& settings) {
+  if (settings.loop != nullptr) {
+    workers_.push_back(std::make_unique<rpc_on_loop>(*settings.loop, settings));
+    return;
+  }
   for (unsigned i = 0; i < std::max(settings.threads, 1U); ++i) {
-    workers_.push_back(std::make_unique<rpc_worker>(settings));
+    workers_.push_back(std::make_unique<rpc_thread>(settings));
   }
 }
 
@@ -67,6 +74,10 @@
   Start<raft_method>(address, kRaftTimeout, std::move(message), [](const auto&) {});
 }
 
+void rpc_peer_client::Refresh(absl::string_view address) {
+  Start<refresh_method>(address, kRefreshTimeout, {}, [](const auto&) {});
+}
+
 void rpc_peer_client::Status(absl::string_view address, absl::Duration timeout,
                              absl::AnyInvocable<void(outcome<status_report>)> completion) {
   Start<status_method>(address, timeout, {}, std::move(completion));
@@ -82,6 +93,11 @@
   return *this;
 }
 
+rpc_peer_client_builder& rpc_peer_client_builder::Loop(event_loop* loop) {
+  settings_.loop = loop;
+  return *this;
+}
+
 rpc_peer_client_builder& rpc_peer_client_builder::ConnectTimeout(absl::Duration timeout) {
   settings_.connect_timeout = timeout;
   return *this;
--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -11,7 +11,8 @@
 #include "common/clock_source.h"
 #include "common/log.h"
 #include "common/sockets.h"
-#include "rpc/internal/server_loop.h"
+#include "rpc/internal/server_on_loop.h"
+#include "rpc/internal/server_thread.h"
 
 namespace teaseljunction {
 namespace {
@@ -52,12 +53,10 @@
 
   result<uint16_t> Start() {
     if (service_ == nullptr) return Fail(error_kind::kSettingInvalid, "the server has no service");
-    BOOST_LEAF_AUTO(sockets, OpenSockets(settings_.address, std::max(settings_.threads, 1U)));
+    const unsigned count = settings_.loop != nullptr ? 1U : std::max(settings_.threads, 1U);
+    BOOST_LEAF_AUTO(sockets, OpenSockets(settings_.address, count));
     const uint16_t port = BoundPort(sockets.front());
-    for (const int fd : sockets) {
-      loops_.push_back(
-          std::make_unique<server_loop>(settings_, *service_, fd, activity_, limiter_));
-    }
+    for (const int fd : sockets) loops_.push_back(MakeLoop(fd));
     LOG(INFO) << "rpc: listening on port " << port;
     return port;
   }
@@ -87,6 +86,14 @@
   }
 
  private:
+  std::unique_ptr<server_loop> MakeLoop(int fd) {
+    if (settings_.loop == nullptr) {
+      return std::make_unique<server_thread>(settings_, *service_, fd, activity_, limiter_);
+    }
+    return std::make_unique<server_on_loop>(*settings_.loop, settings_, *service_, fd, activity_,
+                                            limiter_);
+  }
+
   const rpc_server_settings settings_;
   node_service* const service_;
   server_activity activity_;
@@ -110,6 +117,11 @@
   return *this;
 }
 
+rpc_server_builder& rpc_server_builder::Loop(event_loop* loop) {
+  settings_.loop = loop;
+  return *this;
+}
+
 rpc_server_builder& rpc_server_builder::MaxMessageBytes(size_t bytes) {
   settings_.max_message_bytes = bytes;
   return *this;
--- a/src/rpc/internal/rpc_worker.cc
+++ b/src/rpc/internal/rpc_thread.cc
@@ -1,24 +1,25 @@
-#include "rpc/internal/rpc_worker.h"
+#include "rpc/internal/rpc_thread.h"
 
 #include <utility>
 
 #include "rpc/internal/client_loop.h"
+#include "event_loop/kj_log.h"
 #include "rpc/internal/kj_support.h"
 
 namespace teaseljunction {
 
-rpc_worker::rpc_worker(const rpc_peer_client_settings& settings) : settings_(settings) {
-  thread_ = std::thread(&rpc_worker::Run, this);
+rpc_thread::rpc_thread(const rpc_peer_client_settings& settings) : settings_(settings) {
+  thread_ = std::thread(&rpc_thread::Run, this);
 }
 
-rpc_worker::~rpc_worker() {
+rpc_thread::~rpc_thread() {
   posted stop;
   stop.stop = true;
   queue_.Post(stop);
   thread_.join();
 }
 
-void rpc_worker::Start(std::unique_ptr<pending_call> call) {
+void rpc_thread::Start(std::unique_ptr<pending_call> call) {
   posted start;
   start.call = std::move(call);
   if (!queue_.Post(start)) {
@@ -26,13 +27,13 @@
   }
 }
 
-void rpc_worker::Cancel(uint64_t id) {
+void rpc_thread::Cancel(uint64_t id) {
   posted cancel;
   cancel.cancelled_id = id;
   queue_.Post(cancel);
 }
 
-void rpc_worker::Run() {
+void rpc_thread::Run() {
   kj_log log(limiter_);
   kj::AsyncIoContext io = kj::setupAsyncIo();
   client_loop loop(io, settings_, limiter_);
--- /dev/null
+++ b/src/rpc/internal/server_connections.cc
@@ -0,0 +1,84 @@
+#include "rpc/internal/server_connections.h"
+
+#include <utility>
+
+#include "rpc/internal/kj_support.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr kj::Duration kAcceptRetryDelay = 20 * kj::MILLISECONDS;
+
+/// One connection of the server.
+struct server_connection {
+  server_connection(kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client node,
+                    capnp::ReaderOptions limits, log_limiter& limiter)
+      : stream(kj::mv(accepted)),
+        messages(*stream, PeerName(*stream), limiter),
+        network(messages, capnp::rpc::twoparty::Side::SERVER, limits),
+        rpc(capnp::makeRpcServer(network, kj::mv(node))) {}
+
+  kj::Own<kj::AsyncIoStream> stream;
+  logged_message_stream messages;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
+}  // namespace
+
+server_connections::server_connections(kj::AsyncIoContext& io, const rpc_server_settings& settings,
+                                       node_service& service, int listen_fd, waiting_calls& waiting,
+                                       log_limiter& limiter)
+    : io_(io),
+      settings_(settings),
+      limiter_(limiter),
+      node_(kj::heap<node_impl>(service, waiting)),
+      listener_(io.lowLevelProvider->wrapListenSocketFd(
+          listen_fd, kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP |
+                         kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
+                         kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK)),
+      connections_(kj::heap<kj::TaskSet>(*this)) {
+  accepting_ =
+      Accept().eagerlyEvaluate([this](kj::Exception&& failure) { taskFailed(kj::mv(failure)); });
+}
+
+void server_connections::taskFailed(kj::Exception&& failure) {
+  LogRpcLimited(limiter_, failure.getDescription().cStr());
+}
+
+kj::Promise<void> server_connections::Accept() {
+  return listener_->accept()
+      .then([this](kj::Own<kj::AsyncIoStream>&& stream) { Serve(kj::mv(stream)); })
+      .then([this] { return Accept(); },
+            [this](kj::Exception&& failure) {
+              // For example when no descriptor is left, or the client has gone again.
+              taskFailed(kj::mv(failure));
+              return io_.provider->getTimer().afterDelay(kAcceptRetryDelay).then([this] {
+                return Accept();
+              });
+            });
+}
+
+void server_connections::Serve(kj::Own<kj::AsyncIoStream> stream) {
+  if (open_ >= settings_.max_connections) {
+    LogRpcLimited(limiter_, "connection refused, too many are open");
+    return;
+  }
+  KJ_IF_MAYBE (fd, stream->getFd()) {
+    SetSocketOptions(*fd);
+  }
+  auto connection = kj::heap<server_connection>(
+      kj::mv(stream), node_, MessageLimits(settings_.max_message_bytes), limiter_);
+  ++open_;
+  kj::Promise<void> closed = connection->network.onDisconnect();
+  connections_->add(closed.attach(kj::mv(connection), kj::defer([this] { --open_; })));
+}
+
+void server_connections::StopAccepting() {
+  accepting_ = nullptr;
+  listener_ = nullptr;
+}
+
+void server_connections::CloseAll() { connections_ = nullptr; }
+
+}  // namespace teaseljunction
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -61,6 +61,7 @@
   draining @3 :Bool;
   load @4 :Float64;
   address @5 :Text;
+  targetId @6 :Text;
 }
 
 struct Daemon {
@@ -71,6 +72,7 @@
   target @4 :Target;
   draining @5 :Bool;
   manifestVersion @6 :UInt64;
+  controlMemberId @7 :UInt64;
 }
 
 struct TokenDemand {
@@ -102,6 +104,9 @@
   version @0 :UInt64;
   digest @1 :Text;
   content @2 :Text;
+  # Set when a submission names the version that it replaces.
+  hasBase @3 :Bool;
+  base @4 :UInt64;
 }
 
 struct DirectoryEntry {
@@ -133,6 +138,10 @@
   grants @4 :List(TokenGrant);
   quarantined @5 :List(Text);
   suspects @6 :List(Text);
+  # Addresses of all control members.
+  controlAddresses @7 :List(Text);
+  # Set when a later incarnation of the daemon is known: the one that it has to exceed.
+  outdatedBy @8 :UInt64;
 }
 
 struct Claim {
@@ -220,4 +229,6 @@
   raft @3 (message :Data) -> ();
   manifest @4 () -> Manifest;
   status @5 () -> Status;
+  # Asks the daemon to sync soon, because there is a new manifest.
+  refresh @6 () -> ();
 }
--- a/src/rpc/peer_client.h
+++ b/src/rpc/peer_client.h
@@ -38,6 +38,9 @@
   /// Sends a message between control members. Lost messages are not reported.
   virtual void Raft(absl::string_view address, std::string message) = 0;
 
+  /// Asks the daemon at `address` to sync soon. Lost messages are not reported.
+  virtual void Refresh(absl::string_view address) = 0;
+
   virtual void Status(absl::string_view address, absl::Duration timeout,
                       absl::AnyInvocable<void(outcome<status_report>)> completion) = 0;
 
--- a/src/rpc/rpc_peer_client.h
+++ b/src/rpc/rpc_peer_client.h
@@ -13,9 +13,13 @@
 
 namespace teaseljunction {
 
+class event_loop;
+
 /// Settings of an `rpc_peer_client`.
 struct rpc_peer_client_settings {
   unsigned threads = 2;
+  /// Sends on this loop instead of own threads, when set.
+  event_loop* loop = nullptr;
   absl::Duration connect_timeout = absl::Milliseconds(500);
   /// Connections without calls for this long are closed.
   absl::Duration idle_timeout = absl::Minutes(1);
@@ -26,7 +30,7 @@
 class rpc_worker;
 
 /// Cap'n Proto RPC client to other daemons. Each thread runs one KJ event loop. Every address
-/// belongs to one thread, which keeps one connection to it; so messages to a peer stay in order.
+/// belongs to one thread or to the loop, which keeps one connection to it; so messages to a peer stay in order.
 class rpc_peer_client : public peer_client {
  public:
   /// Ends running calls with kPeerLost, or kPeerUnreachable when they were not sent.
@@ -40,6 +44,7 @@
   void Propose(absl::string_view address, command proposal, absl::Duration timeout,
                absl::AnyInvocable<void(outcome<propose_response>)> completion) override;
   void Raft(absl::string_view address, std::string message) override;
+  void Refresh(absl::string_view address) override;
   void Status(absl::string_view address, absl::Duration timeout,
               absl::AnyInvocable<void(outcome<status_report>)> completion) override;
   void Manifest(absl::string_view address, absl::Duration timeout,
@@ -61,6 +66,8 @@
 class rpc_peer_client_builder {
  public:
   rpc_peer_client_builder& Threads(unsigned threads);
+  /// Sends on the thread of `loop`, which must outlive the client, instead of own threads.
+  rpc_peer_client_builder& Loop(event_loop* loop);
   rpc_peer_client_builder& ConnectTimeout(absl::Duration timeout);
   rpc_peer_client_builder& IdleTimeout(absl::Duration timeout);
   rpc_peer_client_builder& MaxMessageBytes(size_t bytes);
--- a/src/rpc/rpc_server.h
+++ b/src/rpc/rpc_server.h
@@ -12,11 +12,15 @@
 
 namespace teaseljunction {
 
+class event_loop;
+
 /// Settings of an `rpc_server`.
 struct rpc_server_settings {
   /// "IP:port"; port 0 takes a free one.
   std::string address;
   unsigned threads = 2;
+  /// Serves on this loop instead of own threads, when set.
+  event_loop* loop = nullptr;
   /// Bound of one message. A larger one ends its connection.
   size_t max_message_bytes = size_t{16} << 20;
   /// Bound of open connections per thread. Further ones are closed at once.
@@ -58,6 +62,8 @@
  public:
   rpc_server_builder& Address(absl::string_view address);
   rpc_server_builder& Threads(unsigned threads);
+  /// Serves on the thread of `loop`, which must outlive the server, instead of own threads.
+  rpc_server_builder& Loop(event_loop* loop);
   rpc_server_builder& MaxMessageBytes(size_t bytes);
   rpc_server_builder& MaxConnections(unsigned connections);
   /// The service must outlive the server.
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -15,6 +15,7 @@
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "common/sockets.h"
+#include "event_loop/event_loop.h"
 #include "rpc/rpc_peer_client.h"
 #include "rpc/rpc_server.h"
 
@@ -65,6 +66,8 @@
     messages.push_back(std::move(message));
   }
   manifest_record Manifest() override { return {3, "d", "{}"}; }
+  absl::optional<manifest_record> AcceptedManifest() override { return absl::nullopt; }
+  void Refresh() override { ++refreshes; }
   status_report Status() override {
     status_report report;
     report.term = 8;
@@ -81,13 +84,17 @@
   std::vector<execute_completion> kept;
   std::vector<std::string> messages;
   std::atomic<int> cancelled = 0;
+  std::atomic<int> refreshes = 0;
 };
 
 struct running_server {
   explicit running_server(const std::string& listen = "127.0.0.1:0") {
+    const bool on_loop = GENERATE(false, true);
+    if (on_loop) loop = std::make_unique<event_loop>(clock);
     server = rpc_server_builder()
                  .Address(listen)
                  .Threads(2)
+                 .Loop(loop.get())
                  .MaxMessageBytes(4 << 20)
                  .Service(&service)
                  .Build();
@@ -96,6 +103,8 @@
     address = absl::StrCat("127.0.0.1:", std::get<0>(started));
   }
 
+  const system_clock_source clock;
+  std::unique_ptr<event_loop> loop;
   fake_service service;
   std::unique_ptr<rpc_server> server;
   std::string address;
@@ -132,8 +141,16 @@
   return ExecuteAsync(client, address, path, timeout, nullptr, std::move(body)).get();
 }
 
-std::unique_ptr<rpc_peer_client> Client() {
-  return rpc_peer_client_builder().ConnectTimeout(absl::Milliseconds(500)).Build();
+/// A client on own threads, or on an event loop.
+std::unique_ptr<rpc_peer_client> Client(absl::Duration idle_timeout = absl::Minutes(1)) {
+  static const system_clock_source clock;
+  static event_loop loop(clock);
+  const bool on_loop = GENERATE(false, true);
+  return rpc_peer_client_builder()
+      .ConnectTimeout(absl::Milliseconds(500))
+      .IdleTimeout(idle_timeout)
+      .Loop(on_loop ? &loop : nullptr)
+      .Build();
 }
 
 /// Listens, and passes each accepted connection to `script`.
@@ -363,7 +380,7 @@
     }
     closed.Notify();
   });
-  const auto client = rpc_peer_client_builder().IdleTimeout(absl::Milliseconds(100)).Build();
+  const auto client = Client(absl::Milliseconds(100));
   CHECK(KindOf(Execute(*client, server.address(), "/", absl::Milliseconds(50))) ==
         error_kind::kDeadlineExceeded);
   CHECK(closed.WaitForNotificationWithTimeout(kLong));
--- a/src/rpc/types.h
+++ b/src/rpc/types.h
@@ -53,6 +53,10 @@
   std::vector<std::string> quarantined;
   /// Fingerprints that were in flight in a crash; daemons report their completion.
   std::vector<std::string> suspects;
+  /// Addresses of all control members.
+  std::vector<std::string> control_addresses;
+  /// Latest known incarnation of the daemon when it is above that of the request, otherwise 0.
+  uint64_t outdated_by = 0;
 };
 
 /// The answer to `propose`.
