Admit new requests by what they cost in the whole call graph, and place calls by load

Change: daemons learn how many calls of each service a request causes and tell it, with the load, along with answers; the entry refuses the least important requests that reach a full service. Loads are told with each answer and steer the choice of targets. A call waits for its target at most an eighth of its target latency. Buckets keep the whole burst where the deployment tolerates it.

Ruled out: processor time (0.115 cores per process before).

--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -23,6 +23,8 @@
   /// Size of the queued call in bytes, for the bound on queue memory.
   size_t bytes = 0;
   absl::Time deadline = absl::InfiniteFuture();
+  /// Longest time that the call may wait before it starts.
+  absl::Duration max_wait = absl::InfiniteDuration();
 };
 
 enum class admission_verdict : uint8_t { kStart, kQueued, kRefused };
--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -48,6 +48,10 @@
   void Finished(absl::string_view daemon_id, attempt_result result, absl::Duration latency,
                 const overload_level& level, absl::Time now);
 
+  /// Records the load that a target told with an answer: calls that run or wait in relation to what
+  /// it can run. Fuller targets get fewer calls, and a full data centre passes calls on to others.
+  void ReportLoad(absl::string_view daemon_id, double load, absl::Time now);
+
   /// Returns false when every usable target of the service has reported a level that refuses such
   /// a request. A reported level ages out in about 1 s, at a different time for each target, so
   /// that a few requests probe the service again. Returns true for a service without targets.
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "balancer/internal/balancer_state.h"
@@ -20,6 +21,13 @@
 /// Scores within this part of each other count as equal.
 constexpr double kTie = 0.05;
 constexpr int kColdDraws = 3;
+/// Load up to which a target is as good as an idle one, and the part by which each unit above it
+/// lengthens the expected latency.
+constexpr double kRoomyLoad = 0.6;
+constexpr double kCrowdingWeight = 6;
+/// Load above which calls go to another data centre whose load is lower by the gain.
+constexpr double kCrowdedLoad = 0.75;
+constexpr double kLoadGain = 0.15;
 
 /// One call that needs a target.
 struct choice_request {
@@ -40,7 +48,9 @@
 
   double Score(const target_state& target) const {
     const double load = target.in_flight + target.held.At(now);
-    return (load / target.Ramp(now) + 1) * service.Expected(target, now);
+    const double crowding = std::max(0.0, target.LoadAt(now) - kRoomyLoad);
+    return (load / target.Ramp(now) + 1) * service.Expected(target, now) *
+           (1 + kCrowdingWeight * crowding);
   }
 
   target_state* Better(target_state* a, target_state* b) const {
@@ -91,12 +101,20 @@
   size_t size_ = 0;
 };
 
+double LeastLoad(const target_group& group, absl::Time now) {
+  double least = std::numeric_limits<double>::infinity();
+  for (const target_state* target : group.targets) least = std::min(least, target->LoadAt(now));
+  return least;
+}
+
 // The lower one of two estimates is compared: the average of the group contains targets that are
 // not chosen, that of one target has few samples.
 bool RemoteGains(const choice_request& request, const target_state& choice) {
   const service_state& service = request.service;
   const double local =
       std::min(service.Expected(service.local, request.now), service.Expected(choice, request.now));
+  const double load = choice.LoadAt(request.now);
+  if (load > kCrowdedLoad && load > LeastLoad(service.remote, request.now) + kLoadGain) return true;
   const double gain = local - service.Expected(service.remote, request.now);
   return gain > std::max(kRemoteGain, kRemoteGainPart * local);
 }
@@ -169,6 +187,13 @@
   if (failed) service->EjectIfOutlier(*target, now);
 }
 
+void balancer::ReportLoad(absl::string_view daemon_id, double load, absl::Time now) {
+  target_state* target = state_->FindTarget(daemon_id);
+  if (target == nullptr) return;
+  target->load = load;
+  target->load_told = now;
+}
+
 bool balancer::Admits(absl::string_view service, request_priority priority, uint8_t cohort,
                       absl::Time now) const {
   const service_state* known = state_->FindService(service);
--- a/src/balancer/internal/target_state.cc
+++ b/src/balancer/internal/target_state.cc
@@ -31,6 +31,8 @@
 constexpr double kFailurePenalty = 10;
 constexpr double kRefusalPenalty = 2;
 
+/// Time for which a told load is used.
+constexpr absl::Duration kLoadLifetime = absl::Seconds(1);
 constexpr absl::Duration kTargetHalfLife = absl::Seconds(5);
 constexpr absl::Duration kGroupHalfLife = absl::Seconds(2);
 
@@ -89,6 +91,10 @@
   return std::clamp(kRampStart + (1 - kRampStart) * progress, kRampStart, 1.0);
 }
 
+double target_state::LoadAt(absl::Time now) const {
+  return now - load_told > kLoadLifetime ? 0 : load;
+}
+
 bool target_state::Failing() const {
   if (consecutive_failures >= kConsecutiveFailures) return true;
   return results >= kResultsForShare && failure_share > kFailureShare;
--- a/src/balancer/internal/target_state.h
+++ b/src/balancer/internal/target_state.h
@@ -40,6 +40,9 @@
   /// True for a target that joined a running service and ramps up.
   bool cold = false;
   bool other_data_centre = false;
+  /// Load that the target told last, and when.
+  double load = 0;
+  absl::Time load_told = absl::InfinitePast();
   /// Own attempts without a result, also those to an earlier incarnation.
   uint32_t in_flight = 0;
   held_attempts held;
@@ -67,6 +70,8 @@
 
   /// Share of a warm target's calls that this target gets, above 0 and at most 1.
   double Ramp(absl::Time now) const;
+  /// Returns the load that was told, or 0 when that was long ago.
+  double LoadAt(absl::Time now) const;
 
   /// True when the results exceed a failure threshold.
   bool Failing() const;
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -286,4 +286,52 @@
   }
 }
 
+// The load: one data centre gets most of the callers, so that its target is full while those of the
+// other ones have room. Its calls must go where they can run.
+TEST_CASE("a full data centre passes calls on to one with room") {
+  struct row {
+    double local_load;
+    double remote_load;
+    double least_remote;
+    double most_remote;
+  };
+  const row rows[] = {{0.5, 0.1, 0, 0.1}, {1.2, 0.3, 0.6, 1}, {1.2, 1.2, 0, 0.2}, {0.9, 0.8, 0, 0.2}};
+  for (const row& loads : rows) {
+    CAPTURE(loads.local_load, loads.remote_load);
+    seeded_random random(3);
+    balancer choices = balancer_builder()
+                           .SetDaemonId("entry")
+                           .SetDataCentre("here")
+                           .SetRandomSource(&random)
+                           .Build();
+    absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+    std::vector<balancer_target> targets;
+    for (const char* place : {"here", "there"}) {
+      balancer_target target;
+      target.daemon_id = place;
+      target.service = "stock";
+      target.address = place;
+      target.data_centre = place;
+      target.incarnation = 1;
+      target.slots = 10;
+      targets.push_back(target);
+    }
+    choices.SetTargets(targets, now);
+    int remote = 0;
+    constexpr int kCalls = 2000;
+    for (int i = 0; i < kCalls; ++i) {
+      now += kMillisecond;
+      const auto choice = choices.Choose("stock", request_priority::kHigh, 0, {}, now);
+      REQUIRE(choice);
+      if (choice->other_data_centre) ++remote;
+      choices.Started(choice->daemon_id, now);
+      choices.Finished(choice->daemon_id, kAnswered, 20 * kMillisecond, {}, now);
+      choices.ReportLoad("here", loads.local_load, now);
+      choices.ReportLoad("there", loads.remote_load, now);
+    }
+    CHECK(remote >= loads.least_remote * kCalls);
+    CHECK(remote <= loads.most_remote * kCalls);
+  }
+}
+
 }  // namespace teaseljunction
--- a/src/common/types.h
+++ b/src/common/types.h
@@ -81,6 +81,10 @@
   std::string identity;
   /// Digest of account, method, path and body, used to recognise requests that crash targets.
   std::string fingerprint;
+  /// Name of the route.
+  std::string route;
+  /// Longest time that the call may wait for its target.
+  absl::Duration max_wait = absl::InfiniteDuration();
   /// True when the client account has a rate. Known at the entry daemon only.
   bool limited = true;
 };
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -94,6 +94,7 @@
   configuration config_;
   quarantine_registry quarantine_;
   call_context_table contexts_{random_};
+  call_graph graph_;
   event_loop loop_{clock_};
   std::unique_ptr<rpc_peer_client> peers_;
   std::unique_ptr<curl_client> client_;
@@ -140,7 +141,7 @@
       accounts_(clock_, loop_, settings_.token_wait, [this] { sync_->RequestSync(); }) {
   control_ = std::make_unique<leader_client>(clock_, loop_, *peers_, locator_);
   executor_ = std::make_unique<target_executor>(
-      executor_ports{clock_, loop_, contexts_, *client_, quarantine_, resolver_.headers},
+      executor_ports{clock_, loop_, contexts_, *client_, quarantine_, resolver_.headers, graph_},
       settings_.daemon_id,
       admission_controller_builder().SetFixedLimit(settings_.fixed_concurrency).Build(),
       settings_.target_lease);
@@ -155,7 +156,7 @@
   });
   entry_ports_ = std::make_unique<entry_ports>(
       entry_ports{clock_, random_, loop_, accounts_, targets_, *control_, *peers_, quarantine_,
-                  metrics_, pending_, resolver_});
+                  metrics_, pending_, resolver_, graph_});
   target_endpoint_ = std::make_unique<target_endpoint>(*executor_);
   entry_ = std::make_unique<entry_service>(*entry_ports_, config_, contexts_, *target_endpoint_,
                                            settings_.listen.substr(0, settings_.listen.rfind(':')));
@@ -192,7 +193,7 @@
                                  .Build());
   leader_ = std::make_unique<leader_service>(
       clock_, *member_, *peers_, decode_,
-      membership_planner_settings{.voters = settings_.control_voters});
+      membership_planner_settings{.voters = settings_.control_voters}, settings_.tolerance);
   announcer_.SetLeader(leader_.get());
   sync_->SetControlMember(member_->Status().member_id);
   return {};
--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -9,8 +9,14 @@
 
 leader_service::leader_service(const clock_source& clock, control_member& member,
                                peer_client& peers, const manifest_decoder& decode,
-                               const membership_planner_settings& planner)
-    : clock_(clock), member_(member), peers_(peers), decode_(decode), planner_(planner) {}
+                               const membership_planner_settings& planner,
+                               const rate_tolerance& tolerance)
+    : clock_(clock),
+      member_(member),
+      peers_(peers),
+      decode_(decode),
+      tolerance_(tolerance),
+      planner_(planner) {}
 
 void leader_service::AnnounceManifest() {
   if (!member_.IsLeader()) return;
@@ -110,7 +116,7 @@
   if (record->version == accounts_version_) return;
   const auto decoded = Capture<manifest>([&] { return decode_(record->content); });
   if (decoded.index() != 0) return;
-  shares_.SetAccounts(AccountRates(std::get<manifest>(decoded)), now);
+  shares_.SetAccounts(AccountRates(std::get<manifest>(decoded), tolerance_), now);
   accounts_version_ = record->version;
 }
 
--- a/src/daemon/leader_service.h
+++ b/src/daemon/leader_service.h
@@ -8,6 +8,7 @@
 #include "common/clock_source.h"
 #include "control/control_member.h"
 #include "control/membership_planner.h"
+#include "daemon/account_rates.h"
 #include "manifest/manifest_format.h"
 #include "membership/directory.h"
 #include "quarantine/crash_tracker.h"
@@ -24,7 +25,8 @@
  public:
   /// `planner` decides about the members of the control group.
   leader_service(const clock_source& clock, control_member& member, peer_client& peers,
-                 const manifest_decoder& decode, const membership_planner_settings& planner);
+                 const manifest_decoder& decode, const membership_planner_settings& planner,
+                 const rate_tolerance& tolerance);
 
   /// Asks all daemons to sync, because a manifest was accepted here. Does nothing on a member that
   /// is not the leader.
@@ -47,6 +49,7 @@
   control_member& member_;
   peer_client& peers_;
   const manifest_decoder& decode_;
+  const rate_tolerance tolerance_;
 
   absl::Mutex term_mutex_;
   uint64_t term_ ABSL_GUARDED_BY(term_mutex_) = 0;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 #include "common/log.h"
+#include "daemon/account_rates.h"
 #include "common/result.h"
 
 namespace teaseljunction {
@@ -40,6 +41,8 @@
   double retry_reserve = 3;
   /// Requests that a target in this deployment can always run at once: its announced slots.
   bool fixed_concurrency = false;
+  /// What the deployment tolerates beyond the rates of client accounts.
+  rate_tolerance tolerance;
   /// Longest time that a request waits for a token of its client account.
   absl::Duration token_wait;
   /// Time between the announcement of a planned shutdown and the closing of the listeners.
--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -9,6 +9,7 @@
 #include "balancer/attempt_budget.h"
 #include "gateway/account_limiter.h"
 #include "gateway/call_metrics.h"
+#include "gateway/call_graph.h"
 #include "gateway/call_resolver.h"
 #include "gateway/control_client.h"
 #include "gateway/pending_work.h"
@@ -33,6 +34,7 @@
   call_metrics& metrics;
   pending_work& pending;
   const resolver_settings& settings;
+  call_graph& graph;
 };
 
 /// One request of a caller or a child call of the local target, from its resolution to its answer:
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -95,6 +95,25 @@
   return target.substr(0, target.find('?'));
 }
 
+// The priority of the account comes first; within it that of the route counts as far as there are
+// priorities left.
+request_priority CombinedPriority(request_priority account, request_priority matched) {
+  if (account == request_priority::kCritical) return account;
+  const int combined = static_cast<int>(account) + static_cast<int>(matched);
+  return static_cast<request_priority>(std::min(combined, kPriorityCount - 1));
+}
+
+// Returns how long a call may wait for its target. A new request gives up early, so that its caller
+// can come back; the calls of an admitted one wait longer, because work was done for it.
+absl::Duration MaxWait(const route& matched) {
+  constexpr double kPartOfTargetLatency = 0.125;
+  constexpr double kPartOfTimeout = 0.5;
+  if (matched.internal || matched.target_latency == absl::ZeroDuration()) {
+    return matched.timeout * kPartOfTimeout;
+  }
+  return matched.target_latency * kPartOfTargetLatency;
+}
+
 result<void> ResolveAccount(const manifest_index& manifest, const http_request& received,
                             const route& matched, absl::string_view key, call& request) {
   // A key in the path or query would reach the target and its log.
@@ -106,7 +125,7 @@
   const client_account* account = manifest.FindAccountByKeyDigest(KeyDigest(key));
   if (account == nullptr) return Fail(error_kind::kKeyUnknown);
   request.client_account = account->name;
-  if (account->priority) request.priority = *account->priority;
+  if (account->priority) request.priority = CombinedPriority(*account->priority, request.priority);
   request.limited = account->rate > 0;
   return {};
 }
@@ -206,6 +225,8 @@
     request.cohort = CohortOf(request.client_account, request_id);
     resolved.needs_share = !matched.open && request.limited;
     request.depth = matched.internal ? 1 : 0;
+    // Calls of admitted requests come before new requests.
+    if (matched.internal) request.priority = request_priority::kCritical;
   }
   request.service = std::string(SelectService(matched, request.request_id));
   request.method = received.method;
@@ -216,6 +237,8 @@
   request.attempt_budget = matched.max_attempts;
   request.fingerprint = FingerprintOf(request);
   resolved.max_targets = matched.max_targets;
+  request.route = matched.name;
+  request.max_wait = MaxWait(matched);
 
   absl::Duration timeout;
   BOOST_LEAF_ASSIGN(timeout, TimeoutOf(received, matched, settings.headers.deadline));
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "balancer/retry_policy.h"
 #include "common/event_log.h"
 #include "common/log.h"
@@ -16,6 +17,8 @@
 constexpr absl::Duration kClaimTimeout = absl::Seconds(3);
 // Time for which the outcome of a claimed call is proposed again while the control group is away.
 constexpr absl::Duration kBackgroundProposeTimeout = absl::Seconds(30);
+// Time after the deadline within which the daemon beside the target tells whether the call ran.
+constexpr absl::Duration kVerdictMargin = absl::Milliseconds(100);
 // Estimate of the time after which a refused caller may find room.
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
 constexpr absl::string_view kReplayedHeader = "Teaseljunction-Replayed";
@@ -62,6 +65,12 @@
   if (ports_.quarantine.Contains(resolved_.request.fingerprint)) {
     return Refuse({error_kind::kQuarantined, ""});
   }
+  if (resolved_.request.depth == 0) {
+    const std::string full = ports_.graph.Refusing(resolved_.request, started_at_);
+    if (!full.empty()) {
+      return Refuse({error_kind::kOverloaded, absl::StrCat("Service ", full, " has no room.")});
+    }
+  }
   // A request that its service would shed is refused before it uses a token or a claim.
   if (!ports_.targets.Admits(resolved_.request, started_at_)) {
     return Refuse({error_kind::kOverloaded, "The targets of the service shed this priority."});
@@ -144,7 +153,7 @@
   ports_.targets.Started(request.service, target.daemon_id, now);
   const absl::Duration time_left = request.time_left;
   const uint64_t id = ports_.peers.Execute(
-      target.address, std::move(request), time_left,
+      target.address, std::move(request), time_left + kVerdictMargin,
       [self = shared_from_this(), daemon_id = target.daemon_id, now](execute_result executed) {
         self->OnAttempt(daemon_id, now, std::move(executed));
       });
@@ -164,6 +173,8 @@
   const absl::Time now = ports_.clock.Now();
   ports_.targets.Finished(resolved_.request.service, daemon_id, AttemptResultOf(executed),
                           now - sent_at, executed.level, now);
+  ports_.targets.ReportLoad(resolved_.request.service, daemon_id, executed.load, now);
+  ports_.graph.Learn(resolved_.request.route, executed.costs, now);
   budget_.Return(executed.unused_attempts);
   last_service_time_ = executed.service_time;
 }
--- a/src/gateway/internal/entry_service.cc
+++ b/src/gateway/internal/entry_service.cc
@@ -81,6 +81,8 @@
     exchange->Respond(std::move(response));
     return;
   }
+  const call& accepted = std::get<resolved_call>(resolved).request;
+  if (accepted.depth > 0) ports_.graph.OnChildCall(accepted.route, ports_.clock.Now());
   std::make_shared<entry_call>(ports_, std::get<resolved_call>(std::move(resolved)),
                                std::move(exchange))
       ->Start();
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -20,6 +20,8 @@
 constexpr absl::Duration kLossConfirmation = absl::Milliseconds(1500);
 // Time for which a draining target still gets the calls of daemons that have not heard of it.
 constexpr absl::Duration kDrainAcceptance = absl::Seconds(1);
+// One of this many answers tells the cost of its route.
+constexpr uint64_t kAnswersPerCost = 4;
 // Headers and bookkeeping of a queued call, for the bound on queue memory.
 constexpr size_t kCallOverheadBytes = 1024;
 
@@ -175,7 +177,8 @@
                                .depth = taken.depth,
                                .client_account = taken.client_account,
                                .bytes = taken.body.size() + kCallOverheadBytes,
-                               .deadline = added->deadline},
+                               .deadline = added->deadline,
+                               .max_wait = taken.max_wait},
                               now),
             work);
       PollAdmission(work);
@@ -249,6 +252,7 @@
     target = lease_.Current(now);
     suspects_.Started(started->request.fingerprint, now);
   }
+  ports_.graph.OnRun(started->request.route, started->started_at);
   started->running = std::make_shared<running_call>(started->request, started->deadline);
   started->token = ports_.contexts.Add(started->running);
   if (!target) return OnResponse(call_id, error{error_kind::kTargetUnreachable, "no target"});
@@ -372,6 +376,18 @@
   return admission_.Level(ports_.clock.Now());
 }
 
+void target_executor::TellLoad(const call& request, execute_result& delivered) {
+  bool tells_cost = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    const double limit = std::max<double>(admission_.Limit(), 1);
+    delivered.load = static_cast<double>(admission_.InFlight() + admission_.Queued()) / limit;
+    tells_cost = ++answers_ % kAnswersPerCost == 0;
+  }
+  if (!tells_cost) return;
+  delivered.costs = ports_.graph.CostOf(request.route, {request.service, 1, delivered.load});
+}
+
 void target_executor::Deliver(task& finished, outcome<call_answer> answer,
                               absl::Duration service_time) {
   execute_result delivered;
@@ -388,6 +404,7 @@
   }
   delivered.answer = std::move(answer);
   delivered.level = LevelNow();
+  TellLoad(finished.request, delivered);
   delivered.service_time = service_time;
   finished.done(std::move(delivered));
 }
--- a/src/gateway/internal/target_selector.cc
+++ b/src/gateway/internal/target_selector.cc
@@ -70,6 +70,13 @@
   owner.targets.Finished(daemon_id, result, latency, level, now);
 }
 
+void target_selector::ReportLoad(absl::string_view service, absl::string_view daemon_id,
+                                 double load, absl::Time now) {
+  shard& owner = ShardOf(service);
+  absl::MutexLock lock(&owner.mutex);
+  owner.targets.ReportLoad(daemon_id, load, now);
+}
+
 void target_selector::RecordAttempt(absl::string_view service, absl::Time now) {
   shard& owner = ShardOf(service);
   absl::MutexLock lock(&owner.mutex);
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -11,6 +11,7 @@
 #include "admission/admission_controller.h"
 #include "common/clock_source.h"
 #include "gateway/call_context.h"
+#include "gateway/call_graph.h"
 #include "gateway/call_headers.h"
 #include "gateway/quarantine_registry.h"
 #include "common/scheduler.h"
@@ -29,6 +30,7 @@
   http_client& client;
   quarantine_registry& quarantine;
   const call_headers& headers;
+  call_graph& graph;
 };
 
 /// Counters of the executor, for operators.
@@ -118,6 +120,8 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplySlots(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   overload_level LevelNow() ABSL_LOCKS_EXCLUDED(mutex_);
+  // Adds the load of the target, and to some answers what a request of the route costs.
+  void TellLoad(const call& request, execute_result& delivered) ABSL_LOCKS_EXCLUDED(mutex_);
   void Deliver(task& finished, outcome<call_answer> answer, absl::Duration service_time);
 
   const executor_ports ports_;
@@ -129,6 +133,7 @@
   std::vector<crash_report> crash_reports_ ABSL_GUARDED_BY(mutex_);
   absl::flat_hash_map<uint64_t, std::shared_ptr<task>> tasks_ ABSL_GUARDED_BY(mutex_);
   uint64_t next_call_id_ ABSL_GUARDED_BY(mutex_) = 0;
+  uint64_t answers_ ABSL_GUARDED_BY(mutex_) = 0;
   uint32_t max_concurrency_ ABSL_GUARDED_BY(mutex_) = 0;
   uint32_t applied_slots_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time poll_armed_for_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
--- a/src/gateway/target_selector.h
+++ b/src/gateway/target_selector.h
@@ -21,6 +21,10 @@
   /// Replaces the targets of all services.
   void SetTargets(absl::Span<const balancer_target> targets, absl::Time now);
 
+  /// Records the load that a target told with an answer.
+  void ReportLoad(absl::string_view service, absl::string_view daemon_id, double load,
+                  absl::Time now);
+
   /// Sets the retries to a service as a share of its first attempts, and their number per second
   /// beside it.
   void SetRetryBudget(absl::string_view service, double ratio, double reserve);
--- a/src/rpc/internal/convert_call.cc
+++ b/src/rpc/internal/convert_call.cc
@@ -53,6 +53,8 @@
   out.setIdempotent(value.idempotent);
   out.setIdentity(ToText(value.identity));
   out.setFingerprint(ToText(value.fingerprint));
+  out.setRoute(ToText(value.route));
+  out.setMaxWait(ToWire(value.max_wait));
 }
 
 call Decode(wire::Call::Reader in) {
@@ -72,12 +74,14 @@
   value.idempotent = in.getIdempotent();
   value.identity = FromText(in.getIdentity());
   value.fingerprint = FromText(in.getFingerprint());
+  value.route = FromText(in.getRoute());
+  value.max_wait = DurationFromWire(in.getMaxWait());
   return value;
 }
 
 capnp::MessageSize SizeHint(const call& value) {
   const size_t text = value.path.size() + value.client_account.size() + value.identity.size() +
-                      value.fingerprint.size() + value.service.size();
+                      value.fingerprint.size() + value.service.size() + value.route.size();
   return {kFixedWords + WordsOf(text) + WordsOf(value.body.size()) + WordsOf(value.headers), 0};
 }
 
@@ -112,6 +116,14 @@
   out.setUnusedAttempts(value.unused_attempts);
   out.setServiceTime(ToWire(value.service_time));
   out.setTargetFailed(value.target_failed);
+  out.setLoad(static_cast<float>(value.load));
+  if (value.costs.empty()) return;
+  auto costs = out.initCosts(value.costs.size());
+  for (unsigned i = 0; i < costs.size(); ++i) {
+    costs[i].setService(ToText(value.costs[i].service));
+    costs[i].setCalls(static_cast<float>(value.costs[i].calls));
+    costs[i].setPressure(static_cast<float>(value.costs[i].pressure));
+  }
 }
 
 execute_result Decode(wire::ExecuteResult::Reader in) {
@@ -127,6 +139,10 @@
   value.unused_attempts = in.getUnusedAttempts();
   value.service_time = DurationFromWire(in.getServiceTime());
   value.target_failed = in.getTargetFailed();
+  value.load = in.getLoad();
+  for (const auto cost : in.getCosts()) {
+    value.costs.push_back({FromText(cost.getService()), cost.getCalls(), cost.getPressure()});
+  }
   return value;
 }
 
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -34,6 +34,9 @@
   idempotent @12 :Bool;
   identity @13 :Text;
   fingerprint @14 :Text;
+  route @15 :Text;
+  # The largest value stands for no limit.
+  maxWait @16 :Int64 = 9223372036854775807;
 }
 
 struct Answer {
@@ -52,6 +55,16 @@
   unusedAttempts @4 :UInt32;
   serviceTime @5 :Int64;
   targetFailed @6 :Bool;
+  # What a request of the route costs at each service; empty when it is not told.
+  costs @7 :List(ServiceCost);
+  # Calls that run or wait at the target in relation to what it can run.
+  load @8 :Float32;
+}
+
+struct ServiceCost {
+  service @0 :Text;
+  calls @1 :Float32;
+  pressure @2 :Float32;
 }
 
 struct Target {
--- a/src/rpc/types.h
+++ b/src/rpc/types.h
@@ -8,6 +8,7 @@
 #include "common/types.h"
 #include "control/types.h"
 #include "membership/types.h"
+#include "overload/types.h"
 #include "quarantine/types.h"
 #include "shares/types.h"
 
@@ -24,6 +25,10 @@
   absl::Duration service_time;
   /// True when the answer is a server error that is the target's own fault.
   bool target_failed = false;
+  /// What a request of the route costs at each service; empty when it is not told.
+  route_cost costs;
+  /// Calls that run or wait at the target in relation to what it can run.
+  double load = 0;
 };
 
 /// A daemon's periodic message to the leader.
--- a/src/shares/internal/token_bucket.cc
+++ b/src/shares/internal/token_bucket.cc
@@ -51,7 +51,8 @@
   Refill(now);
   account_ = account;
   lifetime_ = GrantLifetime(account);
-  capacity_ = account.burst - account.rate * absl::ToDoubleSeconds(lifetime_);
+  const double granted_ahead = account.rate * absl::ToDoubleSeconds(lifetime_);
+  capacity_ = account.burst - std::max(0.0, granted_ahead - account.tolerance);
   serial_ = capacity_ < 1;
   if (serial_) capacity_ = account.burst;
   level_ = std::min(level_, capacity_);
--- a/src/shares/types.h
+++ b/src/shares/types.h
@@ -14,6 +14,9 @@
   double rate = 0;
   /// Requests that may be run at once.
   double burst = 0;
+  /// Requests that may be run beyond rate and burst in any window. They make up for the lifetime of
+  /// grants, so that an account gets its whole burst.
+  double tolerance = 0;
 };
 
 /// A daemon's request for tokens of one client account.
