--- a/src/admission/internal/admission_controller.cc
+++ b/src/admission/internal/admission_controller.cc
@@ -84,8 +84,8 @@
   admission_request bounded = request;
   // The call is refused once it could not finish by its deadline any more, so an earlier deadline
   // ends its wait.
-  bounded.deadline = std::min(request.deadline, now + request.max_wait +
-                                                    service_time_->Expected(request.priority, now));
+  bounded.deadline = std::min(
+      request.deadline, now + request.max_wait + service_time_->Expected(request.priority, now));
   const bool added = queue_->Push(bounded, now, evicted);
   for (const uint64_t call_id : evicted) Refuse(call_id, error_kind::kOverloaded);
   if (!added) return Refusal(request.call_id, error_kind::kOverloaded);
--- a/src/balancer/internal/retry_policy.cc
+++ b/src/balancer/internal/retry_policy.cc
@@ -37,7 +37,8 @@
 
 absl::optional<absl::Duration> DecideRetry(const failed_attempt& attempt, retry_budget& budget,
                                            random_source& random, absl::Time now) {
-  if (attempt.attempts_made >= std::min(attempt.max_attempts, kMaxAttemptsPerHop)) return absl::nullopt;
+  if (attempt.attempts_made >= std::min(attempt.max_attempts, kMaxAttemptsPerHop))
+    return absl::nullopt;
   if (!MayRunAgain(attempt)) return absl::nullopt;
   const absl::Duration delay = DelayAfter(attempt.attempts_made, random);
   if (delay >= attempt.time_left) return absl::nullopt;
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -295,7 +295,8 @@
     double least_remote;
     double most_remote;
   };
-  const row rows[] = {{0.5, 0.1, 0, 0.1}, {1.2, 0.3, 0.6, 1}, {1.2, 1.2, 0, 0.2}, {0.9, 0.8, 0, 0.2}};
+  const row rows[] = {
+      {0.5, 0.1, 0, 0.1}, {1.2, 0.3, 0.6, 1}, {1.2, 1.2, 0, 0.2}, {0.9, 0.8, 0, 0.2}};
   for (const row& loads : rows) {
     CAPTURE(loads.local_load, loads.remote_load);
     seeded_random random(3);
--- a/src/common/internal/log.cc
+++ b/src/common/internal/log.cc
@@ -25,8 +25,8 @@
   void handle(const el::LogDispatchData* data) override {  // NOLINT(readability-identifier-naming)
     const el::LogMessage& message = *data->logMessage();
     if (data->dispatchAction() != el::base::DispatchAction::NormalLog) return;
-    WriteLogLine(absl::StrCat(el::LevelHelper::convertToString(message.level()), " ",
-                              message.message()));
+    WriteLogLine(
+        absl::StrCat(el::LevelHelper::convertToString(message.level()), " ", message.message()));
   }
 };
 
--- a/src/control/internal/membership_planner.cc
+++ b/src/control/internal/membership_planner.cc
@@ -31,8 +31,7 @@
   return found == heard_.end() ? term_began_ : found->second.when;
 }
 
-bool membership_planner::Alive(const member_status& member, uint64_t own_id,
-                               absl::Time now) const {
+bool membership_planner::Alive(const member_status& member, uint64_t own_id, absl::Time now) const {
   return now - LastHeard(member, own_id, now) <= settings_.alive_for;
 }
 
--- a/src/daemon/account_rates.h
+++ b/src/daemon/account_rates.h
@@ -19,10 +19,10 @@
                                               const rate_tolerance& tolerance) {
   std::vector<account_rate> rates;
   for (const client_account& account : source.client_accounts) {
-    if (account.rate > 0) rates.push_back(
-          {account.name, account.rate, account.burst,
-           tolerance.part *
-               (account.rate * absl::ToDoubleSeconds(tolerance.window) + account.burst)});
+    if (account.rate > 0)
+      rates.push_back({account.name, account.rate, account.burst,
+                       tolerance.part * (account.rate * absl::ToDoubleSeconds(tolerance.window) +
+                                         account.burst)});
   }
   return rates;
 }
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -145,10 +145,10 @@
       settings_.daemon_id,
       admission_controller_builder().SetFixedLimit(settings_.fixed_concurrency).Build(),
       settings_.target_lease);
-  sync_ = std::make_unique<sync_loop>(sync_ports{clock_, loop_, *peers_, locator_, config_,
-                                                 accounts_, targets_, *executor_, quarantine_,
-                                                 decode_},
-                                      settings_, NewIncarnation());
+  sync_ =
+      std::make_unique<sync_loop>(sync_ports{clock_, loop_, *peers_, locator_, config_, accounts_,
+                                             targets_, *executor_, quarantine_, decode_},
+                                  settings_, NewIncarnation());
   sync_->OnManifest([this](const manifest_index& manifest) {
     const auto target = executor_->Target();
     const service* own = target ? manifest.FindService(target->service) : nullptr;
--- a/src/daemon/internal/node.cc
+++ b/src/daemon/internal/node.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-
 namespace teaseljunction {
 
 node::node(const clock_source& clock, target_executor& executor, configuration& config,
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -141,8 +141,8 @@
   BOOST_LEAF_CHECK(CheckThreads(settings.http_threads, "http_threads"));
   BOOST_LEAF_CHECK(CheckThreads(settings.rpc_threads, "rpc_threads"));
   BOOST_LEAF_CHECK(CheckThreads(settings.client_threads, "client_threads"));
-  BOOST_LEAF_CHECK(Require(settings.control_voters <= kMaxVoters, "control_voters",
-                           "must be from 0 to 9."));
+  BOOST_LEAF_CHECK(
+      Require(settings.control_voters <= kMaxVoters, "control_voters", "must be from 0 to 9."));
   BOOST_LEAF_CHECK(Require(settings.durable_copies >= 1 && settings.durable_copies <= kMaxCopies,
                            "durable_copies", "must be from 1 to 5."));
   BOOST_LEAF_CHECK(
--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -192,8 +192,8 @@
                << " cannot be decoded: " << failure->detail;
     return false;
   }
-  const auto index = std::make_shared<const manifest_index>(
-      std::get<manifest>(std::move(decoded)), record.digest, record.content);
+  const auto index = std::make_shared<const manifest_index>(std::get<manifest>(std::move(decoded)),
+                                                            record.digest, record.content);
   ports_.accounts.SetAccounts(AccountRates(index->Manifest(), settings_.tolerance));
   for (const service& listed : index->Manifest().services) {
     const double ratio = settings_.retry_ratio < 0 ? listed.retry_ratio : settings_.retry_ratio;
--- a/src/daemon/leader_client.h
+++ b/src/daemon/leader_client.h
@@ -7,8 +7,8 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "common/clock_source.h"
-#include "gateway/control_client.h"
 #include "common/scheduler.h"
+#include "gateway/control_client.h"
 #include "rpc/peer_client.h"
 
 namespace teaseljunction {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -5,8 +5,8 @@
 
 #include "absl/time/time.h"
 #include "common/log.h"
-#include "daemon/account_rates.h"
 #include "common/result.h"
+#include "daemon/account_rates.h"
 
 namespace teaseljunction {
 
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -49,9 +49,8 @@
 
 bool IsSystemHeader(absl::string_view name, const call_headers& headers) {
   if (absl::StartsWithIgnoreCase(name, kOwnHeaderPrefix)) return true;
-  for (const std::string* known :
-       {&headers.request_id, &headers.deadline, &headers.client_account, &headers.context,
-        &headers.caller_service, &headers.target_id}) {
+  for (const std::string* known : {&headers.request_id, &headers.deadline, &headers.client_account,
+                                   &headers.context, &headers.caller_service, &headers.target_id}) {
     if (absl::EqualsIgnoreCase(name, *known)) return true;
   }
   return false;
@@ -209,8 +208,7 @@
                                   absl::string_view request_id, absl::Time now) {
   resolved_call resolved;
   BOOST_LEAF_ASSIGN(resolved.parent, FindParent(contexts, settings.headers, received));
-  const route_match match =
-      manifest.FindRoute(HostOf(received), received.method, PathOf(received));
+  const route_match match = manifest.FindRoute(HostOf(received), received.method, PathOf(received));
   if (match.matched == nullptr) return Fail(match.failure);
   const route& matched = *match.matched;
 
--- a/src/gateway/internal/entry_service.cc
+++ b/src/gateway/internal/entry_service.cc
@@ -41,8 +41,8 @@
   const absl::Time now = ports_.clock.Now();
   const auto manifest = config_.Confirmed(now);
   if (manifest == nullptr) return Fail(error_kind::kConfigurationStale);
-  BOOST_LEAF_AUTO(resolved, ResolveCall(*manifest, contexts_, ports_.settings, request, request_id,
-                                        now));
+  BOOST_LEAF_AUTO(resolved,
+                  ResolveCall(*manifest, contexts_, ports_.settings, request, request_id, now));
   if (resolved.parent == nullptr) return resolved;
   const auto attempts = resolved.parent->TakeForChild();
   if (!attempts) return Fail(error_kind::kAttemptsExhausted);
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -50,8 +50,8 @@
     return target_result::kFailed;
   }
   const http_response& received = std::get<http_response>(response);
-  const bool refused = received.status == kMisdirected ||
-                       FindHeader(received.headers, names.not_run).has_value();
+  const bool refused =
+      received.status == kMisdirected || FindHeader(received.headers, names.not_run).has_value();
   return refused ? target_result::kShed : target_result::kAnswered;
 }
 
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -24,7 +24,7 @@
   std::shared_ptr<const manifest_index> manifest = SampleManifest();
   resolver_settings settings;
   call_graph graph;
-  entry_ports ports{time,  random,     time,    accounts, targets, control,
+  entry_ports ports{time,  random,     time,    accounts, targets,  control,
                     peers, quarantine, metrics, pending,  settings, graph};
   uint64_t next_request = 0;
 
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -38,8 +38,8 @@
   quarantine_registry quarantine;
   call_headers headers;
   call_graph graph;
-  target_executor executor{executor_ports{time, time, contexts, client, quarantine, headers, graph}, "d1",
-                           admission_controller_builder().Build()};
+  target_executor executor{executor_ports{time, time, contexts, client, quarantine, headers, graph},
+                           "d1", admission_controller_builder().Build()};
   std::vector<execute_result> results;
 
   executor_fixture() { Announce(1); }
--- a/src/http/curl_client.h
+++ b/src/http/curl_client.h
@@ -32,10 +32,10 @@
 
 class curl_worker;
 
-/// HTTP/1.1 client on libcurl's multi interface. Each thread, or the loop, runs one multi handle with
-/// its own kept connections. No request is sent twice: libcurl's own resending is stopped and reported as
-/// kTargetFailed. Responses whose end cannot be checked, with neither Content-Length nor chunked
-/// transfer, are kTargetFailed too.
+/// HTTP/1.1 client on libcurl's multi interface. Each thread, or the loop, runs one multi handle
+/// with its own kept connections. No request is sent twice: libcurl's own resending is stopped and
+/// reported as kTargetFailed. Responses whose end cannot be checked, with neither Content-Length
+/// nor chunked transfer, are kTargetFailed too.
 class curl_client : public http_client {
  public:
   /// Ends running requests with kCancelled.
--- a/src/http/internal/curl_client.cc
+++ b/src/http/internal/curl_client.cc
@@ -5,9 +5,9 @@
 #include <utility>
 
 #include "common/clock_source.h"
-#include "http/internal/curl_transfer.h"
 #include "http/internal/curl_loop.h"
 #include "http/internal/curl_thread.h"
+#include "http/internal/curl_transfer.h"
 
 namespace teaseljunction {
 namespace {
--- a/src/http/internal/curl_loop.cc
+++ b/src/http/internal/curl_loop.cc
@@ -82,9 +82,8 @@
     FinishAtTurnEnd();
     return;
   }
-  timer_at_ = timeout_ms < 0
-                  ? absl::InfiniteFuture()
-                  : system_clock_source().Now() + absl::Milliseconds(timeout_ms);
+  timer_at_ = timeout_ms < 0 ? absl::InfiniteFuture()
+                             : system_clock_source().Now() + absl::Milliseconds(timeout_ms);
   if (timeout_ms < 0 || timer_id_ != 0) return;
   timer_id_ = loop_.RunAt(timer_at_, [this, alive = alive_] {
     if (*alive) HandleTimeout();
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -198,8 +198,8 @@
 }
 
 bool curl_transfer::EndIsKnown() const {
-  return length_known_ || request_.expected.may_end_with_connection || request_.method == "HEAD" || response_.status == 204 ||
-         response_.status == 304;
+  return length_known_ || request_.expected.may_end_with_connection || request_.method == "HEAD" ||
+         response_.status == 204 || response_.status == 304;
 }
 
 void curl_transfer::Finish(CURLcode code) {
--- a/src/http/internal/disconnect_watcher.h
+++ b/src/http/internal/disconnect_watcher.h
@@ -14,9 +14,9 @@
 class input_watch;
 class server_request;
 
-/// Watches the sockets of suspended connections, on a thread or an event loop, and tells their requests when the
-/// client has closed the connection. Events carry the id of the request and not the descriptor, so
-/// that an event for a descriptor that was closed and reused finds no request.
+/// Watches the sockets of suspended connections, on a thread or an event loop, and tells their
+/// requests when the client has closed the connection. Events carry the id of the request and not
+/// the descriptor, so that an event for a descriptor that was closed and reused finds no request.
 class disconnect_watcher {
  public:
   disconnect_watcher();
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -109,10 +109,9 @@
   return MHD_start_daemon(
       (threaded ? MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC : MHD_USE_EPOLL) |
           MHD_ALLOW_SUSPEND_RESUME,
-      0, nullptr, nullptr,
-      &impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, listen_fd_, MHD_OPTION_CONNECTION_LIMIT,
-      std::max(settings_.max_connections, settings_.threads), MHD_OPTION_CONNECTION_TIMEOUT,
-      timeout, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      0, nullptr, nullptr, &impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, listen_fd_,
+      MHD_OPTION_CONNECTION_LIMIT, std::max(settings_.max_connections, settings_.threads),
+      MHD_OPTION_CONNECTION_TIMEOUT, timeout, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       2 * settings_.max_header_bytes + kConnectionExtraBytes, MHD_OPTION_STRICT_FOR_CLIENT, 1,
       MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
       &impl::OnConnection, this, MHD_OPTION_URI_LOG_CALLBACK, &impl::OnRequestLine, this,
--- a/src/manifest/internal/manifest_index.cc
+++ b/src/manifest/internal/manifest_index.cc
@@ -71,8 +71,8 @@
     absl::string_view path = entry.path;
     const bool prefix = absl::EndsWith(path, "/*");
     if (prefix) path.remove_suffix(1);
-    (prefix ? prefix_routes_ : exact_routes_).emplace(route_key(path, entry.method, entry.host),
-                                                          &entry);
+    (prefix ? prefix_routes_ : exact_routes_)
+        .emplace(route_key(path, entry.method, entry.host), &entry);
     if (prefix) longest_prefix_ = std::max(longest_prefix_, path.size());
   }
 }
--- a/src/manifest/manifest_index.h
+++ b/src/manifest/manifest_index.h
@@ -41,9 +41,10 @@
 
   /// Finds the route of a request. `path` has no query. Among the routes with this host and method
   /// an exact path wins, then the longest prefix. A route for one host comes before a route for any
-  /// host, and one for the method before one for any method. Unless paths are literal, percent-encoded unreserved characters are decoded first.
-  /// A path with "." or ".." segments, empty inner segments or a broken encoding matches no route,
-  /// because a target could resolve it to a path with another route.
+  /// host, and one for the method before one for any method. Unless paths are literal,
+  /// percent-encoded unreserved characters are decoded first. A path with "." or ".." segments,
+  /// empty inner segments or a broken encoding matches no route, because a target could resolve it
+  /// to a path with another route.
   route_match FindRoute(absl::string_view host, absl::string_view method,
                         absl::string_view path) const;
 
--- a/src/manifest/types.h
+++ b/src/manifest/types.h
@@ -59,8 +59,8 @@
   /// Targets that one request may be sent to at this hop.
   uint32_t max_targets = 3;
   /// True when a non-idempotent request is registered with the control group, so that repeated
-  /// requests with its Idempotency-Key do not run again. Without it, each request runs at most once,
-  /// and a repeated one is another request.
+  /// requests with its Idempotency-Key do not run again. Without it, each request runs at most
+  /// once, and a repeated one is another request.
   bool claims = true;
   /// True when the route is called only by targets, on behalf of requests that were admitted.
   bool internal = false;
--- a/src/overload/entry_admission.h
+++ b/src/overload/entry_admission.h
@@ -19,8 +19,8 @@
 ///
 /// For each service there is a level on the scale of ranks. A rank is the priority of a request,
 /// the most important first, and within it the cohort. The level falls while the service is loaded
-/// above the target and rises slowly while it is below. A request is admitted when its rank is below
-/// the levels of all services that it reaches. Not thread-safe.
+/// above the target and rises slowly while it is below. A request is admitted when its rank is
+/// below the levels of all services that it reaches. Not thread-safe.
 class entry_admission {
  public:
   /// Takes the load of services as told with an answer.
--- a/src/overload/internal/entry_admission.cc
+++ b/src/overload/internal/entry_admission.cc
@@ -12,10 +12,10 @@
 constexpr absl::Duration kAveraging = absl::Milliseconds(150);
 constexpr absl::Duration kStepInterval = absl::Milliseconds(50);
 /// Change of the level per step for each unit of load above and below the target, and its bounds.
-constexpr double kFall = 0.2;
-constexpr double kLargestFall = 0.08;
-constexpr double kRise = 0.1;
-constexpr double kLargestRise = 0.03;
+constexpr double kFall = 0.06;
+constexpr double kLargestFall = 0.06;
+constexpr double kRise = 0.06;
+constexpr double kLargestRise = 0.02;
 /// Some of the most important requests are always let in, so that the load stays known.
 constexpr double kLowestLevel = 0.25;
 /// Without news for this long the level rises as if the service had room.
@@ -54,8 +54,7 @@
 absl::string_view entry_admission::Refusing(absl::Span<const service_cost> cost,
                                             request_priority priority, uint8_t cohort,
                                             absl::Time now) {
-  const double rank =
-      static_cast<double>(priority) + static_cast<double>(cohort) / kCohortCount;
+  const double rank = static_cast<double>(priority) + static_cast<double>(cohort) / kCohortCount;
   for (const service_cost& reached : cost) {
     if (reached.calls < kLeastCalls) continue;
     const auto found = services_.find(reached.service);
--- a/src/overload/tests/entry_admission_test.cc
+++ b/src/overload/tests/entry_admission_test.cc
@@ -42,8 +42,7 @@
       for (int i = 0; i < arrived; ++i) {
         const auto cohort = static_cast<uint8_t>(random_() % kCohortCount);
         const route_cost cost = {{"front", 1, 0}, {"scarce", kind.scarce_calls, 0}};
-        const bool admitted =
-            admission_.Refusing(cost, kind.priority, cohort, now_).empty();
+        const bool admitted = admission_.Refusing(cost, kind.priority, cohort, now_).empty();
         if (measured) kind.offered += 1;
         if (measured && admitted) kind.admitted += 1;
         if (admitted) calls += kind.scarce_calls;
@@ -51,8 +50,8 @@
     }
     if (measured) calls_ += calls;
     on_the_way_.push_back(calls);
-    // Calls reach the service 100 ms after their request, and the load is told 20 ms later.
-    if (on_the_way_.size() > 20) {
+    // The calls of a request come within 300 ms of it, and the load that is told is an average.
+    if (on_the_way_.size() > 60) {
       load_ += 0.05 * (on_the_way_.front() / seconds / capacity_ - load_);
       on_the_way_.pop_front();
     }
--- a/src/rpc/internal/client_loop.cc
+++ b/src/rpc/internal/client_loop.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "common/sockets.h"
+#include "rpc/internal/buffered_stream.h"
 
 namespace teaseljunction {
 namespace {
@@ -29,7 +30,7 @@
 
 peer_connection::peer_connection(kj::Own<kj::AsyncIoStream> connected, capnp::ReaderOptions limits,
                                  const std::string& address, log_limiter& limiter)
-    : stream(kj::mv(connected)),
+    : stream(kj::heap<buffered_stream>(kj::mv(connected))),
       messages(*stream, address, limiter),
       network(messages, capnp::rpc::twoparty::Side::CLIENT, limits),
       rpc(capnp::makeRpcClient(network)),
--- a/src/rpc/internal/node_impl.h
+++ b/src/rpc/internal/node_impl.h
@@ -9,9 +9,9 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/functional/any_invocable.h"
+#include "event_loop/loop_queue.h"
 #include "node.capnp.h"
 #include "rpc/internal/convert.h"
-#include "event_loop/loop_queue.h"
 #include "rpc/node_service.h"
 
 namespace teaseljunction {
@@ -70,9 +70,8 @@
   template <class Result>
   absl::AnyInvocable<void(Result)> Completion(uint64_t id) {
     return [this, sink = sink_, id](Result result) {
-      sink->Post([this, id, result = std::move(result)]() mutable {
-        Complete(id, std::move(result));
-      });
+      sink->Post(
+          [this, id, result = std::move(result)]() mutable { Complete(id, std::move(result)); });
     };
   }
 
--- a/src/rpc/internal/rpc_thread.cc
+++ b/src/rpc/internal/rpc_thread.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "rpc/internal/client_loop.h"
 #include "event_loop/kj_log.h"
+#include "rpc/internal/client_loop.h"
 #include "rpc/internal/kj_support.h"
 
 namespace teaseljunction {
--- a/src/rpc/internal/server_connections.cc
+++ b/src/rpc/internal/server_connections.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "rpc/internal/buffered_stream.h"
 #include "rpc/internal/kj_support.h"
 
 namespace teaseljunction {
@@ -13,7 +14,7 @@
 struct server_connection {
   server_connection(kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client node,
                     capnp::ReaderOptions limits, log_limiter& limiter)
-      : stream(kj::mv(accepted)),
+      : stream(kj::heap<buffered_stream>(kj::mv(accepted))),
         messages(*stream, PeerName(*stream), limiter),
         network(messages, capnp::rpc::twoparty::Side::SERVER, limits),
         rpc(capnp::makeRpcServer(network, kj::mv(node))) {}
--- a/src/rpc/internal/server_on_loop.cc
+++ b/src/rpc/internal/server_on_loop.cc
@@ -30,9 +30,8 @@
       listen_fd_(listen_fd),
       sink_(std::make_shared<loop_sink>(loop)),
       waiting_(std::make_unique<waiting_calls>(sink_, activity)) {
-  loop_.RunAndWait([&] {
-    connections_.emplace(loop_.Io(), settings, service, listen_fd, *waiting_, limiter);
-  });
+  loop_.RunAndWait(
+      [&] { connections_.emplace(loop_.Io(), settings, service, listen_fd, *waiting_, limiter); });
 }
 
 server_on_loop::~server_on_loop() {
--- a/src/rpc/node_service.h
+++ b/src/rpc/node_service.h
@@ -39,8 +39,8 @@
 
   virtual status_report Status() = 0;
 
-  /// Returns the newest accepted manifest, or nothing on a daemon that is not the leader and so does
-  /// not know it for certain.
+  /// Returns the newest accepted manifest, or nothing on a daemon that is not the leader and so
+  /// does not know it for certain.
   virtual absl::optional<manifest_record> AcceptedManifest() = 0;
 
   /// Syncs with the leader soon.
--- a/src/rpc/rpc_peer_client.h
+++ b/src/rpc/rpc_peer_client.h
@@ -30,7 +30,8 @@
 class rpc_worker;
 
 /// Cap'n Proto RPC client to other daemons. Each thread runs one KJ event loop. Every address
-/// belongs to one thread or to the loop, which keeps one connection to it; so messages to a peer stay in order.
+/// belongs to one thread or to the loop, which keeps one connection to it; so messages to a peer
+/// stay in order.
 class rpc_peer_client : public peer_client {
  public:
   /// Ends running calls with kPeerLost, or kPeerUnreachable when they were not sent.
--- a/src/shares/share_owner.h
+++ b/src/shares/share_owner.h
@@ -16,11 +16,10 @@
 ///
 /// Bound: grants conform to a token bucket with rate r and capacity B' = burst - r * t, where t is
 /// the lifetime of a grant. A token that is used in a window of length w was granted in a window of
-/// length w + t, so at most B' + r * (w + t) = burst + r * w tokens are used. A tolerance d adds up to
-/// min(d, r * t) to B' and to the bound. Where B' is below one
-/// token (bursts below 2), tokens are granted one at a time and the bucket refills only after the
-/// lifetime of the last grant; two uses are then at least 1 / r apart. Such an account gets a rate
-/// of r / (1 + r * t).
+/// length w + t, so at most B' + r * (w + t) = burst + r * w tokens are used. A tolerance d adds up
+/// to min(d, r * t) to B' and to the bound. Where B' is below one token (bursts below 2), tokens
+/// are granted one at a time and the bucket refills only after the lifetime of the last grant; two
+/// uses are then at least 1 / r apart. Such an account gets a rate of r / (1 + r * t).
 ///
 /// Not thread-safe. Times must not go back.
 class share_owner {
