Keep the macros of the log library out of headers

Cause: common/log.h came into platform_test.cc with daemon/settings.h, and the CHECK of easylogging++ replaced that of Catch2, so most checks of the test did not count (23 of 973 assertions). Change: log_settings.h has what headers need. Also linter findings of the last changes. Conclusion: platform_test passes with all its assertions.

--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -319,8 +319,8 @@
     }
     choices.SetTargets(targets, now);
     int remote = 0;
-    constexpr int kCalls = 2000;
-    for (int i = 0; i < kCalls; ++i) {
+    const int calls = 2000;
+    for (int i = 0; i < calls; ++i) {
       now += kMillisecond;
       const auto choice = choices.Choose("stock", request_priority::kHigh, 0, {}, now);
       REQUIRE(choice);
@@ -330,8 +330,8 @@
       choices.ReportLoad("here", loads.local_load, now);
       choices.ReportLoad("there", loads.remote_load, now);
     }
-    CHECK(remote >= loads.least_remote * kCalls);
-    CHECK(remote <= loads.most_remote * kCalls);
+    CHECK(remote >= loads.least_remote * calls);
+    CHECK(remote <= loads.most_remote * calls);
   }
 }
 
--- a/src/common/internal/event_log.cc
+++ b/src/common/internal/event_log.cc
@@ -63,7 +63,7 @@
   }
 
  private:
-  const system_clock_source clock_;
+  const system_clock_source clock_ = {};
   std::atomic<int64_t> second_ = 0;
   std::atomic<int64_t> lines_ = 0;
   std::atomic<int64_t> left_out_ = 0;
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -1,31 +1,7 @@
 #pragma once
 
+// The macros of easylogging++ collide with those of the test library, so headers include
+// log_settings.h and only sources include this one.
 #include <easylogging++.h>
 
-#include <string>
-
-#include "absl/strings/string_view.h"
-
-namespace teaseljunction {
-
-/// Settings of the process's log.
-struct log_settings {
-  /// File to append to. Empty writes to the standard output.
-  std::string file;
-  /// Lowest level that is written: "debug", "info", "warning" or "error".
-  std::string level = "info";
-};
-
-/// Configures the log of this process. Each program calls it once, before it starts threads. Lines
-/// for the standard output are written by a thread of their own.
-/// Returns false when the level is unknown.
-bool ConfigureLog(const log_settings& settings);
-
-/// Writes a line, with its time before it, to the log of this process. Returns at once; when the
-/// reader of the log is too slow, lines are left out and counted.
-void WriteLogLine(absl::string_view line);
-
-/// Number of lines that were left out so far because the reader was too slow.
-uint64_t LogLinesLeftOut();
-
-}  // namespace teaseljunction
+#include "common/log_settings.h"
--- a/src/common/tests/event_log_test.cc
+++ b/src/common/tests/event_log_test.cc
@@ -8,14 +8,14 @@
 
 TEST_CASE("a small part of the requests is sampled, the same ones each time") {
   int sampled = 0;
-  constexpr int kRequests = 10'000;
-  for (int i = 0; i < kRequests; ++i) {
+  const int requests = 10'000;
+  for (int i = 0; i < requests; ++i) {
     const std::string id = absl::StrCat("request-", i);
     if (IsSampledRequest(id)) ++sampled;
     CHECK(IsSampledRequest(id) == IsSampledRequest(id));
   }
-  CHECK(sampled > kRequests / 200);
-  CHECK(sampled < kRequests / 20);
+  CHECK(sampled > requests / 200);
+  CHECK(sampled < requests / 20);
 }
 
 // Guards against failures that cannot be explained because their line was sampled away.
--- a/src/common/tests/log_writer_test.cc
+++ b/src/common/tests/log_writer_test.cc
@@ -51,10 +51,10 @@
 TEST_CASE("a reader that is stuck costs lines and not time") {
   pipe_pair pipe;
   const std::string line(1000, 'x');
-  constexpr int kLines = 2000;
+  const int lines = 2000;
   log_writer writer(pipe.ends[1]);
-  for (int i = 0; i < kLines; ++i) writer.Write(line);
-  CHECK(writer.LeftOut() >= kLines - (log_writer::kBufferBytes + 65536) / 1000 - 1);
+  for (int i = 0; i < lines; ++i) writer.Write(line);
+  CHECK(writer.LeftOut() >= lines - (log_writer::kBufferBytes + 65536) / 1000 - 1);
 }
 
 TEST_CASE("a later line tells how many were left out") {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "common/log.h"
+#include "common/log_settings.h"
 #include "common/result.h"
 #include "daemon/account_rates.h"
 
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -17,6 +17,10 @@
 namespace {
 
 constexpr size_t kMaxIdempotencyKeyBytes = 255;
+// Longest waits for a target: of a new request, in parts of its target latency, and of a call of an
+// admitted request, in parts of its timeout.
+constexpr double kPartOfTargetLatency = 0.125;
+constexpr double kPartOfTimeout = 0.5;
 constexpr absl::string_view kAuthorizationHeader = "Authorization";
 constexpr absl::string_view kApiKeyHeader = "X-Api-Key";
 constexpr absl::string_view kBearerPrefix = "Bearer ";
@@ -105,8 +109,6 @@
 // Returns how long a call may wait for its target. A new request gives up early, so that its caller
 // can come back; the calls of an admitted one wait longer, because work was done for it.
 absl::Duration MaxWait(const route& matched) {
-  constexpr double kPartOfTargetLatency = 0.125;
-  constexpr double kPartOfTimeout = 0.5;
   if (matched.internal || matched.target_latency == absl::ZeroDuration()) {
     return matched.timeout * kPartOfTimeout;
   }
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -13,6 +13,9 @@
 namespace teaseljunction {
 namespace {
 
+// Statuses from the first to before the second one are successes.
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
 
 bool IsToken(absl::string_view text) {
@@ -186,8 +189,6 @@
 }
 
 absl::string_view curl_transfer::Missing() const {
-  constexpr int kFirstSuccess = 200;
-  constexpr int kFirstRedirect = 300;
   const expected_answer& expected = request_.expected;
   if (!expected.echoed.name.empty() && !echoed_) return "the response does not name its request";
   const bool success = response_.status >= kFirstSuccess && response_.status < kFirstRedirect;
--- a/src/rpc/internal/client_loop.h
+++ b/src/rpc/internal/client_loop.h
@@ -42,7 +42,7 @@
 };
 
 /// The state of one client thread: connections and calls. Not thread-safe.
-class client_loop : private kj::TaskSet::ErrorHandler {
+class client_loop final : private kj::TaskSet::ErrorHandler {
  public:
   client_loop(kj::AsyncIoContext& io, const rpc_peer_client_settings& settings,
               log_limiter& limiter);
--- a/src/rpc/internal/rpc_on_loop.cc
+++ b/src/rpc/internal/rpc_on_loop.cc
@@ -9,7 +9,7 @@
   loop_.RunAndWait([this] { client_.emplace(loop_.Io(), settings_, limiter_); });
 }
 
-rpc_on_loop::~rpc_on_loop() {
+rpc_on_loop::~rpc_on_loop() noexcept(false) {
   loop_.RunAndWait([this] {
     *alive_ = false;
     client_->Shutdown();
--- a/src/rpc/internal/rpc_on_loop.h
+++ b/src/rpc/internal/rpc_on_loop.h
@@ -15,7 +15,7 @@
 class rpc_on_loop : public rpc_worker {
  public:
   rpc_on_loop(event_loop& loop, const rpc_peer_client_settings& settings);
-  ~rpc_on_loop() override;
+  ~rpc_on_loop() noexcept(false) override;
 
   void Start(std::unique_ptr<pending_call> call) override;
   void Cancel(uint64_t id) override;
--- a/src/rpc/internal/rpc_thread.cc
+++ b/src/rpc/internal/rpc_thread.cc
@@ -12,7 +12,7 @@
   thread_ = std::thread(&rpc_thread::Run, this);
 }
 
-rpc_thread::~rpc_thread() {
+rpc_thread::~rpc_thread() noexcept(false) {
   posted stop;
   stop.stop = true;
   queue_.Post(stop);
--- a/src/rpc/internal/rpc_thread.h
+++ b/src/rpc/internal/rpc_thread.h
@@ -16,7 +16,7 @@
 class rpc_thread : public rpc_worker {
  public:
   explicit rpc_thread(const rpc_peer_client_settings& settings);
-  ~rpc_thread() override;
+  ~rpc_thread() noexcept(false) override;
 
   void Start(std::unique_ptr<pending_call> call) override;
   void Cancel(uint64_t id) override;
--- a/src/rpc/internal/server_connections.h
+++ b/src/rpc/internal/server_connections.h
@@ -11,7 +11,7 @@
 
 /// Listening socket and connections of the server on one KJ event loop. Used on the loop's thread
 /// only.
-class server_connections : public kj::TaskSet::ErrorHandler {
+class server_connections final : public kj::TaskSet::ErrorHandler {
  public:
   /// Takes over `listen_fd`. The other arguments must outlive the connections.
   server_connections(kj::AsyncIoContext& io, const rpc_server_settings& settings,
--- a/src/rpc/internal/server_loop.h
+++ b/src/rpc/internal/server_loop.h
@@ -11,7 +11,7 @@
 /// connections.
 class server_loop {
  public:
-  virtual ~server_loop() = default;
+  virtual ~server_loop() noexcept(false) = default;
 
   virtual int listen_fd() const = 0;
   /// Closes the listening socket; connections stay open.
--- a/src/rpc/internal/server_on_loop.cc
+++ b/src/rpc/internal/server_on_loop.cc
@@ -34,7 +34,7 @@
       [&] { connections_.emplace(loop_.Io(), settings, service, listen_fd, *waiting_, limiter); });
 }
 
-server_on_loop::~server_on_loop() {
+server_on_loop::~server_on_loop() noexcept(false) {
   // The RPC system drops the calls of closed connections in events of their own, which come before
   // the second task.
   loop_.RunAndWait([this] { connections_->CloseAll(); });
--- a/src/rpc/internal/server_on_loop.h
+++ b/src/rpc/internal/server_on_loop.h
@@ -16,7 +16,7 @@
   /// Takes over `listen_fd`.
   server_on_loop(event_loop& loop, const rpc_server_settings& settings, node_service& service,
                  int listen_fd, server_activity& activity, log_limiter& limiter);
-  ~server_on_loop() override;
+  ~server_on_loop() noexcept(false) override;
 
   int listen_fd() const override { return listen_fd_; }
   void StopAccepting() override;
--- a/src/rpc/internal/server_thread.cc
+++ b/src/rpc/internal/server_thread.cc
@@ -27,7 +27,7 @@
   thread_ = std::thread(&server_thread::Run, this);
 }
 
-server_thread::~server_thread() {
+server_thread::~server_thread() noexcept(false) {
   Post([this] { stop_->fulfiller->fulfill(); });
   thread_.join();
 }
--- a/src/rpc/internal/server_thread.h
+++ b/src/rpc/internal/server_thread.h
@@ -16,7 +16,7 @@
   /// Takes over `listen_fd`.
   server_thread(const rpc_server_settings& settings, node_service& service, int listen_fd,
                 server_activity& activity, log_limiter& limiter);
-  ~server_thread() override;
+  ~server_thread() noexcept(false) override;
 
   int listen_fd() const override { return listen_fd_; }
   void StopAccepting() override;
