--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -13,5 +13,6 @@
 std::vector<command_entry> ManifestCommands();
 std::vector<command_entry> FleetCommands();
 std::vector<command_entry> CallCommands();
+std::vector<command_entry> ExplainCommands();
 
 }  // namespace teaseljunction
--- a/src/cli/internal/call_commands.cc
+++ b/src/cli/internal/call_commands.cc
@@ -151,6 +151,7 @@
   std::vector<command_entry> commands = ManifestCommands();
   for (command_entry& command : CallCommands()) commands.push_back(std::move(command));
   for (command_entry& command : FleetCommands()) commands.push_back(std::move(command));
+  for (command_entry& command : ExplainCommands()) commands.push_back(std::move(command));
   return commands;
 }
 
--- /dev/null
+++ b/src/cli/internal/request_trace.cc
@@ -0,0 +1,112 @@
+#include "cli/request_trace.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <tuple>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace teaseljunction {
+namespace {
+
+constexpr absl::string_view kEventField = "event=";
+
+// Splits "a=1 b=\"x y\"" into pairs.
+std::vector<std::pair<std::string, std::string>> SplitFields(absl::string_view text) {
+  std::vector<std::pair<std::string, std::string>> fields;
+  while (!text.empty()) {
+    text = absl::StripPrefix(text, " ");
+    const size_t equals = text.find('=');
+    if (equals == absl::string_view::npos) break;
+    const std::string name(text.substr(0, equals));
+    text.remove_prefix(equals + 1);
+    std::string value;
+    if (absl::ConsumePrefix(&text, "\"")) {
+      while (!text.empty() && text[0] != '"') {
+        if (text[0] == '\\' && text.size() > 1) text.remove_prefix(1);
+        value.push_back(text[0]);
+        text.remove_prefix(1);
+      }
+      absl::ConsumePrefix(&text, "\"");
+    } else {
+      const absl::string_view word = text.substr(0, text.find(' '));
+      value = std::string(word);
+      text.remove_prefix(word.size());
+    }
+    fields.emplace_back(name, std::move(value));
+  }
+  return fields;
+}
+
+std::string TakeField(std::vector<std::pair<std::string, std::string>>& fields,
+                      absl::string_view name) {
+  for (auto field = fields.begin(); field != fields.end(); ++field) {
+    if (field->first != name) continue;
+    std::string value = std::move(field->second);
+    fields.erase(field);
+    return value;
+  }
+  return {};
+}
+
+// Targets put the id of the request before those of the calls that they make for it.
+bool BelongsTo(absl::string_view id, absl::string_view request_id) {
+  return id == request_id || absl::StartsWith(id, absl::StrCat(request_id, "."));
+}
+
+// Position of an event in the life of one call.
+int StageOf(const trace_step& step) {
+  if (step.event == "sent") return 0;
+  const bool ends =
+      step.event == "answered" || step.event == "refused" || step.event == "caller_gone";
+  return ends ? 2 : 1;
+}
+
+}  // namespace
+
+absl::optional<trace_step> ParseTraceLine(absl::string_view log, absl::string_view line,
+                                          absl::string_view request_id) {
+  const size_t begin = line.find(kEventField);
+  if (begin == absl::string_view::npos) return absl::nullopt;
+  trace_step step;
+  step.log = std::string(log);
+  step.fields = SplitFields(line.substr(begin));
+  step.event = TakeField(step.fields, "event");
+  step.request_id = TakeField(step.fields, "request");
+  if (!BelongsTo(step.request_id, request_id)) return absl::nullopt;
+  step.depth = static_cast<size_t>(
+      std::count(step.request_id.begin() + static_cast<std::ptrdiff_t>(request_id.size()),
+                 step.request_id.end(), '.'));
+  const std::vector<absl::string_view> before =
+      absl::StrSplit(line.substr(0, begin), ' ', absl::SkipEmpty());
+  if (!before.empty()) step.time = std::string(before.back());
+  return step;
+}
+
+std::vector<trace_step> OrderByCause(std::vector<trace_step> steps) {
+  std::stable_sort(steps.begin(), steps.end(), [](const trace_step& a, const trace_step& b) {
+    return std::make_tuple(absl::string_view(a.request_id), StageOf(a), absl::string_view(a.time)) <
+           std::make_tuple(absl::string_view(b.request_id), StageOf(b), absl::string_view(b.time));
+  });
+  return steps;
+}
+
+std::string EncodeTrace(absl::Span<const trace_step> steps) {
+  nlohmann::ordered_json list = nlohmann::ordered_json::array();
+  for (const trace_step& step : steps) {
+    nlohmann::ordered_json entry = {{"request", step.request_id},
+                                    {"depth", step.depth},
+                                    {"event", step.event},
+                                    {"time", step.time},
+                                    {"log", step.log}};
+    for (const auto& [name, value] : step.fields) entry[name] = value;
+    list.push_back(std::move(entry));
+  }
+  return list.dump(2, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}  // namespace teaseljunction
