Test base versions, split routes, account priorities and restarted daemons

Each test guards against a failure named above it: a repeated submission that is refused, parts of a route beside their weight, forged system headers, internal calls behind new requests, a daemon that stays ignored after its clock was set back.

--- a/src/control/tests/replicated_state_test.cc
+++ b/src/control/tests/replicated_state_test.cc
@@ -185,4 +185,48 @@
   }
 }
 
+// Guards against an operator whose answer was lost and whose repeated submission is refused, and
+// against two changes on top of one version that are both accepted.
+TEST_CASE("a submission with a base is accepted once and acknowledged again") {
+  state_fixture f;
+  struct row {
+    const char* what;
+    submit_manifest command;
+    bool applied;
+    bool repeated;
+    error_kind failure;
+  };
+  const row rows[] = {
+      {"the first", {3, "a", "A", 0}, true, false, {}},
+      {"the first again", {3, "a", "A", 0}, true, true, {}},
+      {"another on top of the same base",
+       {4, "b", "B", 0},
+       false,
+       false,
+       error_kind::kManifestConflict},
+      {"the same version with other content",
+       {3, "c", "C", 3},
+       false,
+       false,
+       error_kind::kManifestOutdated},
+      {"a lower version", {2, "d", "D", 3}, false, false, error_kind::kManifestOutdated},
+      {"the next", {7, "e", "E", 3}, true, false, {}},
+      {"the first, long after", {3, "a", "A", 0}, true, true, {}},
+      {"on top of an old version", {9, "f", "F", 3}, false, false, error_kind::kManifestConflict},
+  };
+  for (const row& step : rows) {
+    INFO(step.what);
+    const command_result done = f.Apply(step.command);
+    CHECK(done.applied == step.applied);
+    CHECK(done.already_accepted == step.repeated);
+    if (!step.applied) CHECK(done.failure.kind == step.failure);
+  }
+  CHECK(f.state.Manifest()->version == 7);
+  // A member that starts from a snapshot knows what was accepted before.
+  state_fixture restored;
+  REQUIRE_FALSE(Restore(restored, f.state.Snapshot()));
+  CHECK(restored.Apply(submit_manifest{3, "a", "A", 0}).already_accepted);
+  CHECK(restored.state.Manifest()->version == 7);
+}
+
 }  // namespace teaseljunction
--- a/src/gateway/tests/call_resolver_test.cc
+++ b/src/gateway/tests/call_resolver_test.cc
@@ -132,4 +132,105 @@
   CHECK(config.Latest()->Manifest().version == 5);
 }
 
+// Guards against parts of a split route that get more or less than their weight, and against a
+// request that changes its part when it is looked at twice.
+TEST_CASE("requests are divided over the parts of a route by weight") {
+  route split;
+  split.parts = {{"stock", 90}, {"orders", 10}};
+  int orders = 0;
+  const int requests = 10000;
+  for (int i = 0; i < requests; ++i) {
+    const std::string id = "id-" + std::to_string(i);
+    const absl::string_view service = SelectService(split, id);
+    CHECK(service == SelectService(split, id));
+    if (service == "orders") ++orders;
+  }
+  CHECK(orders > 0.08 * requests);
+  CHECK(orders < 0.12 * requests);
+}
+
+// The way of a call under a deployment with headers of its own.
+TEST_CASE("the headers of the deployment are set by the system") {
+  resolver_fixture fixture;
+  fixture.settings.caller_service = "front";
+  call_headers& headers = fixture.settings.headers;
+  headers.caller_service = "X-From";
+  headers.client_account = "X-Account";
+  headers.deadline = "X-Left-Ms";
+  headers.forward_host = true;
+  const auto resolved = fixture.Resolve({"GET",
+                                         "/stock/1",
+                                         {{"Authorization", Bearer()},
+                                          {"Host", "shop.example"},
+                                          {"X-From", "forged"},
+                                          {"X-Account", "forged"},
+                                          {"X-Left-Ms", "250"}},
+                                         ""});
+  REQUIRE(resolved.index() == 0);
+  const auto& accepted = std::get<resolved_call>(resolved);
+  CHECK(FindHeader(accepted.request.headers, "X-From").value_or("") == "front");
+  CHECK_FALSE(FindHeader(accepted.request.headers, "X-Account"));
+  CHECK(FindHeader(accepted.request.headers, "Host").value_or("") == "shop.example");
+  CHECK(accepted.deadline == kNow + absl::Milliseconds(250));
+}
+
+// Guards against an account of the first rank that is shed with the others, and against accounts
+// that lift their lookups above the orders of others of the same rank.
+TEST_CASE("the priority of an account comes before that of the route") {
+  struct row {
+    request_priority account;
+    request_priority matched;
+    request_priority expected;
+  };
+  const row rows[] = {
+      {request_priority::kCritical, request_priority::kNormal, request_priority::kCritical},
+      {request_priority::kHigh, request_priority::kCritical, request_priority::kHigh},
+      {request_priority::kHigh, request_priority::kHigh, request_priority::kNormal},
+      {request_priority::kHigh, request_priority::kNormal, request_priority::kLow},
+      {request_priority::kLow, request_priority::kNormal, request_priority::kLow},
+  };
+  for (const row& wanted : rows) {
+    manifest changed = SampleManifest()->Manifest();
+    changed.client_accounts[0].priority = wanted.account;
+    changed.routes[0].priority = wanted.matched;
+    resolver_fixture fixture;
+    fixture.manifest = std::make_shared<const manifest_index>(changed);
+    const auto resolved = fixture.Resolve({"GET", "/stock/1", {{"Authorization", Bearer()}}, ""});
+    REQUIRE(resolved.index() == 0);
+    CHECK(std::get<resolved_call>(resolved).request.priority == wanted.expected);
+  }
+}
+
+// Guards against new requests that take the place of calls for requests that were admitted.
+TEST_CASE("internal calls come first and wait longer") {
+  manifest changed = SampleManifest()->Manifest();
+  changed.routes[2].internal = true;
+  changed.routes[2].timeout = absl::Milliseconds(800);
+  changed.routes[0].target_latency = absl::Milliseconds(400);
+  resolver_fixture fixture;
+  fixture.manifest = std::make_shared<const manifest_index>(changed);
+  const auto call = fixture.Resolve({"GET", "/status", {}, ""});
+  const auto request = fixture.Resolve({"GET", "/stock/1", {{"Authorization", Bearer()}}, ""});
+  REQUIRE(call.index() == 0);
+  REQUIRE(request.index() == 0);
+  CHECK(std::get<resolved_call>(call).request.priority == request_priority::kCritical);
+  CHECK(std::get<resolved_call>(call).request.depth == 1);
+  CHECK(std::get<resolved_call>(call).request.max_wait == absl::Milliseconds(400));
+  CHECK(std::get<resolved_call>(request).request.max_wait == absl::Milliseconds(50));
+}
+
+TEST_CASE("a route for one host comes before a route for any host") {
+  manifest changed = SampleManifest()->Manifest();
+  route own = changed.routes[0];
+  own.name = "own";
+  own.host = "shop.example";
+  own.method = "";
+  changed.routes.push_back(own);
+  const manifest_index index(changed);
+  CHECK(index.FindRoute("shop.example", "GET", "/stock/1").matched->name == "own");
+  CHECK(index.FindRoute("shop.example", "PUT", "/stock/1").matched->name == "own");
+  CHECK(index.FindRoute("other.example", "GET", "/stock/1").matched->name == "lookup");
+  CHECK(index.FindRoute("other.example", "PUT", "/stock/1").matched == nullptr);
+}
+
 }  // namespace teaseljunction
--- a/src/membership/tests/directory_test.cc
+++ b/src/membership/tests/directory_test.cc
@@ -174,4 +174,19 @@
   CHECK_FALSE(leader.Heartbeat(Daemon("1", 1), now));
 }
 
+// Guards against a daemon that is ignored for good because its clock was set back before it started
+// again: the leader tells which incarnation it has to exceed.
+TEST_CASE("a daemon with an earlier incarnation can learn the known one") {
+  directory leader;
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  leader.StartTerm(1, now);
+  CHECK(leader.Heartbeat(Daemon("d1", 500), now));
+  CHECK_FALSE(leader.Heartbeat(Daemon("d1", 400), now));
+  CHECK(leader.KnownIncarnation("d1") == 500);
+  CHECK(leader.KnownIncarnation("d2") == 0);
+  CHECK(leader.Heartbeat(Daemon("d1", 501), now));
+  REQUIRE(leader.Daemons().size() == 1);
+  CHECK(leader.Daemons()[0].incarnation == 501);
+}
+
 }  // namespace teaseljunction
