Read paths in one place and drop what nothing used

PathOf stood in the call resolver and in the platform's control handler; it is now http/request_path.h. Conclusion: behaviour is unchanged.

--- a/src/common/internal/log.cc
+++ b/src/common/internal/log.cc
@@ -73,6 +73,4 @@
       absl::StrCat(absl::FormatTime(kTimeFormat, absl::Now(), absl::UTCTimeZone()), " ", line));
 }
 
-uint64_t LogLinesLeftOut() { return Writer() == nullptr ? 0 : Writer()->LeftOut(); }
-
 }  // namespace teaseljunction
--- a/src/common/log_settings.h
+++ b/src/common/log_settings.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 
 #include "absl/strings/string_view.h"
@@ -24,7 +23,4 @@
 /// reader of the log is too slow, lines are left out and counted.
 void WriteLogLine(absl::string_view line);
 
-/// Number of lines that were left out so far because the reader was too slow.
-uint64_t LogLinesLeftOut();
-
 }  // namespace teaseljunction
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "common/digest.h"
+#include "http/request_path.h"
 
 namespace teaseljunction {
 namespace {
@@ -93,11 +94,6 @@
   return absl::AsciiStrToLower(host.substr(0, host.find(':')));
 }
 
-absl::string_view PathOf(const http_request& received) {
-  const absl::string_view target = received.path;
-  return target.substr(0, target.find('?'));
-}
-
 // The priority of the account comes first; within it that of the route counts as far as there are
 // priorities left.
 request_priority CombinedPriority(request_priority account, request_priority matched) {
