Go on at the earlier rate while the leader is lost

Ruled out: too small a stock. It is bounded by the lifetime of tokens, and a longer one would loosen the bound of the rate. Change: a holder that is told that the owner is lost lets requests through at 0.8 of the rate at which it used granted tokens, for 1.2 s at most. A sync without an answer for 60 ms counts as a lost leader, and another member is asked after 400 ms instead of 800 ms.

--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -15,7 +15,11 @@
 // Interval of syncs while the allowance lasts, and the allowance in syncs.
 constexpr absl::Duration kQuickSyncInterval = absl::Milliseconds(5);
 constexpr int kQuickSyncs = 10;
-constexpr absl::Duration kSyncTimeout = absl::Milliseconds(800);
+// A leader that does not answer for this long is counted as lost: several times the usual answer
+// time between data centres of a region, below the shortest election.
+constexpr absl::Duration kSyncTimeout = absl::Milliseconds(400);
+// Requests wait for tokens meanwhile, so the accounts learn earlier that the leader is silent.
+constexpr absl::Duration kSilence = absl::Milliseconds(60);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(100);
 
 std::vector<balancer_target> TargetsOf(const std::vector<daemon_announcement>& daemons) {
@@ -30,7 +34,8 @@
                        .incarnation = target.incarnation,
                        .slots = target.slots,
                        .announced_load = target.load,
-                       .draining = daemon.draining || target.draining});
+                       .draining = daemon.draining || target.draining,
+                       .warm_up = target.warm_up});
   }
   return targets;
 }
@@ -123,11 +128,21 @@
   return request;
 }
 
+void sync_loop::CheckAnswer(uint64_t number) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!in_flight_ || sync_number_ != number || stopped_) return;
+  }
+  ports_.accounts.SetOwnerLost(true);
+}
+
 void sync_loop::Send() {
+  uint64_t number = 0;
   {
     absl::MutexLock lock(&mutex_);
     if (in_flight_ || stopped_) return;
     in_flight_ = true;
+    number = ++sync_number_;
     requested_ = false;
     scheduled_for_ = absl::InfiniteFuture();
     timer_id_ = 0;
@@ -136,6 +151,7 @@
   }
   // Read before the request is built: what the leader confirms is as old as this.
   const absl::Time sent_at = ports_.clock.Now();
+  ports_.timers.RunAt(sent_at + kSilence, [this, number] { CheckAnswer(number); });
   const std::string address = ports_.locator.Address();
   ports_.peers.Sync(address, BuildRequest(), kSyncTimeout,
                     [this, address, sent_at](outcome<sync_response> response) {
@@ -154,7 +170,9 @@
       known_quarantine = sent_quarantine_size_;
     }
     Apply(*answered, known_quarantine, sent_at);
+    ports_.accounts.SetOwnerLost(false);
   } else {
+    ports_.accounts.SetOwnerLost(true);
     ports_.locator.NotLeader(address, answered == nullptr ? "" : answered->leader_address);
   }
   absl::MutexLock lock(&mutex_);
--- a/src/daemon/sync_loop.h
+++ b/src/daemon/sync_loop.h
@@ -69,6 +69,8 @@
   void ScheduleAt(absl::Time when) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Send();
   sync_request BuildRequest();
+  // Counts the leader as lost when the sync `number` has no answer yet.
+  void CheckAnswer(uint64_t number);
   void OnResponse(const std::string& address, absl::Time sent_at, outcome<sync_response> response);
   void Apply(const sync_response& response, uint64_t known_quarantine, absl::Time sent_at);
   bool ApplyManifest(const manifest_record& record);
@@ -81,6 +83,8 @@
   absl::Mutex mutex_;
   directory_view directory_ ABSL_GUARDED_BY(mutex_);
   bool in_flight_ ABSL_GUARDED_BY(mutex_) = false;
+  // Number of the last sync that was sent.
+  uint64_t sync_number_ ABSL_GUARDED_BY(mutex_) = 0;
   bool requested_ ABSL_GUARDED_BY(mutex_) = false;
   uint64_t incarnation_ ABSL_GUARDED_BY(mutex_);
   bool draining_ ABSL_GUARDED_BY(mutex_) = false;
--- a/src/gateway/account_limiter.h
+++ b/src/gateway/account_limiter.h
@@ -44,6 +44,9 @@
   /// Returns the demands for the next sync.
   std::vector<token_demand> CollectDemands();
 
+  /// Tells whether the owner of the rates, the leader, answers. See `share_holder::OwnerLost`.
+  void SetOwnerLost(bool lost);
+
   /// Adds granted tokens. `request_sent_at` is the time at which the sync was sent.
   void ApplyGrants(absl::Span<const token_grant> grants, absl::Time request_sent_at);
 
@@ -68,7 +71,9 @@
   static size_t ShardIndex(absl::string_view client_account);
   shard& ShardOf(absl::string_view client_account);
   void Expire(shard& owner, const std::string& client_account, uint64_t waiter_id);
-  static void TakeReady(shard& owner, const token_grant& grant, absl::Time now,
+  // Ends the waits for which `take` yields a token, in order.
+  using take_function = bool (share_holder::*)(absl::string_view, absl::Time);
+  static void TakeReady(shard& owner, absl::string_view account, take_function take, absl::Time now,
                         std::vector<finished_wait>& finished)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(owner.mutex);
 
--- a/src/gateway/internal/account_limiter.cc
+++ b/src/gateway/internal/account_limiter.cc
@@ -35,27 +35,50 @@
   shard& owner = ShardOf(client_account);
   uint64_t waiter_id = 0;
   bool urgent = false;
-  completion ready;
+  std::vector<finished_wait> finished;
+  bool waits = false;
   {
     absl::MutexLock lock(&owner.mutex);
     const absl::Time now = clock_.Now();
     auto& queue = owner.waiting[client_account];
     // Requests that wait already come first.
     if (queue.empty() && owner.holder.TryTake(client_account, now)) {
-      ready = std::move(done);
+      finished.push_back({std::move(done), {.granted = true, .retry_after = {}}});
     } else {
       waiter_id = ++owner.next_waiter_id;
       queue.push_back({waiter_id, std::move(done)});
       owner.holder.AddWaiting(client_account);
+      TakeReady(owner, client_account, &share_holder::TakeStanding, now, finished);
+      waits = !queue.empty();
     }
     urgent = owner.holder.Urgent(now);
   }
   if (urgent) request_sync_();
-  if (ready) return ready({.granted = true, .retry_after = absl::ZeroDuration()});
+  for (finished_wait& wait : finished) wait.done(wait.outcome);
+  if (!waits) return;
   timers_.RunAt(clock_.Now() + max_wait_, [this, &owner, account = std::string(client_account),
                                            waiter_id] { Expire(owner, account, waiter_id); });
 }
 
+void account_limiter::SetOwnerLost(bool lost) {
+  std::vector<finished_wait> finished;
+  for (shard& owner : shards_) {
+    absl::MutexLock lock(&owner.mutex);
+    if (!lost) {
+      owner.holder.OwnerFound();
+      continue;
+    }
+    const absl::Time now = clock_.Now();
+    owner.holder.OwnerLost(now);
+    for (const auto& [account, queue] : owner.waiting) {
+      if (!queue.empty()) {
+        TakeReady(owner, account, &share_holder::TakeStanding, now, finished);
+      }
+    }
+  }
+  for (finished_wait& wait : finished) wait.done(wait.outcome);
+}
+
 void account_limiter::Expire(shard& owner, const std::string& client_account, uint64_t waiter_id) {
   completion done;
   token_result refused;
@@ -85,11 +108,11 @@
   return demands;
 }
 
-void account_limiter::TakeReady(shard& owner, const token_grant& grant, absl::Time now,
-                                std::vector<finished_wait>& finished) {
-  auto& queue = owner.waiting[grant.client_account];
-  while (!queue.empty() && owner.holder.TryTake(grant.client_account, now)) {
-    owner.holder.RemoveWaiting(grant.client_account);
+void account_limiter::TakeReady(shard& owner, absl::string_view account, take_function take,
+                                absl::Time now, std::vector<finished_wait>& finished) {
+  auto& queue = owner.waiting[account];
+  while (!queue.empty() && (owner.holder.*take)(account, now)) {
+    owner.holder.RemoveWaiting(account);
     finished.push_back({std::move(queue.front().done), {.granted = true, .retry_after = {}}});
     queue.pop_front();
   }
@@ -110,7 +133,9 @@
     absl::MutexLock lock(&owner.mutex);
     const absl::Time now = clock_.Now();
     owner.holder.ApplyGrants(per_shard[i], request_sent_at, now);
-    for (const token_grant& grant : per_shard[i]) TakeReady(owner, grant, now, finished);
+    for (const token_grant& grant : per_shard[i]) {
+      TakeReady(owner, grant.client_account, &share_holder::TryTake, now, finished);
+    }
     // What the grants did not cover needs another sync.
     urgent = urgent || owner.holder.Urgent(now);
   }
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -202,6 +202,45 @@
   CHECK(FindHeader(refused->last.headers, "Retry-After"));
 }
 
+// Guards against requests that are refused as above the rate while the leader does not answer.
+TEST_CASE("requests at the earlier rate go on while the leader is lost") {
+  virtual_scheduler time;
+  account_limiter accounts(time, time, absl::Milliseconds(150), [] {});
+  accounts.SetAccounts(std::vector<account_rate>{{"a", 100, 100}});
+  int granted = 0;
+  int refused = 0;
+  const auto run = [&](int requests, bool leader_answers) {
+    granted = refused = 0;
+    for (int i = 0; i < requests; ++i) {
+      accounts.Acquire("a", [&](const token_result& token) {
+        granted += token.granted ? 1 : 0;
+        refused += token.granted ? 0 : 1;
+      });
+      if (leader_answers) {
+        const auto sent = time.Now();
+        std::vector<token_grant> grants;
+        for (const token_demand& demand : accounts.CollectDemands()) {
+          grants.push_back({"a", demand.tokens, absl::Milliseconds(500), {}});
+        }
+        accounts.ApplyGrants(grants, sent);
+      }
+      time.AdvanceBy(absl::Milliseconds(20));
+    }
+  };
+  run(300, true);
+  CHECK(granted == 300);
+  time.AdvanceBy(absl::Milliseconds(600));  // The tokens have expired.
+  accounts.SetOwnerLost(true);
+  run(50, false);
+  CHECK(granted >= 25);
+  run(50, false);
+  time.AdvanceBy(absl::Seconds(1));
+  CHECK(refused >= 25);
+  accounts.SetOwnerLost(false);
+  run(50, true);
+  CHECK(refused == 0);
+}
+
 // Guards against grants that are dropped because another account of the same shard was granted in
 // the same response.
 TEST_CASE("each account of a response gets its tokens") {
--- a/src/shares/internal/account_share.cc
+++ b/src/shares/internal/account_share.cc
@@ -20,6 +20,14 @@
 // Pause between early syncs when the owner had fewer tokens than requested.
 constexpr absl::Duration kMaxShortagePause = absl::Milliseconds(300);
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(1);
+// Time over which the use of granted tokens is averaged. Longer than a burst, so that the shares of
+// all daemons together stay close to the rate of the account.
+constexpr absl::Duration kTakenTimeConstant = absl::Seconds(3);
+// Part of the earlier use that a daemon may go on with while the owner cannot be asked. The rest
+// covers tokens that a new owner grants to daemons that have found it first.
+constexpr double kStandingPart = 0.8;
+// Time for which unused standing tokens are kept.
+constexpr absl::Duration kStandingKept = absl::Milliseconds(100);
 
 }  // namespace
 
@@ -38,6 +46,33 @@
   DropExpired(now);
   if (batches_.empty()) return false;
   if (--batches_.front().tokens == 0) batches_.pop_front();
+  CountTaken(now);
+  return true;
+}
+
+double account_share::TakenRate(absl::Time now) const {
+  if (taken_updated_ == absl::InfinitePast()) return 0;
+  return taken_rate_ * std::exp(-absl::FDivDuration(now - taken_updated_, kTakenTimeConstant));
+}
+
+void account_share::CountTaken(absl::Time now) {
+  taken_rate_ = TakenRate(now) + 1 / absl::ToDoubleSeconds(kTakenTimeConstant);
+  taken_updated_ = now;
+}
+
+void account_share::OwnerLost(absl::Time now) {
+  standing_rate_ = kStandingPart * TakenRate(now);
+  standing_level_ = 0;
+  standing_refilled_ = now;
+}
+
+bool account_share::TakeStanding(absl::Time now) {
+  const double most = std::max(1.0, standing_rate_ * absl::ToDoubleSeconds(kStandingKept));
+  const double added = standing_rate_ * absl::ToDoubleSeconds(now - standing_refilled_);
+  standing_level_ = std::min(most, standing_level_ + added);
+  standing_refilled_ = now;
+  if (standing_level_ < 1) return false;
+  standing_level_ -= 1;
   return true;
 }
 
--- a/src/shares/internal/account_share.h
+++ b/src/shares/internal/account_share.h
@@ -27,6 +27,13 @@
   /// True when tokens should be requested before the next regular sync.
   bool Urgent(absl::Time now) const;
 
+  /// Begins the time in which the owner cannot be asked. See `TakeStanding`.
+  void OwnerLost(absl::Time now);
+
+  /// Takes a token while the owner cannot be asked, at most at a part of the rate at which this
+  /// daemon was granted tokens before.
+  bool TakeStanding(absl::Time now);
+
   void ApplyGrant(const token_grant& grant, absl::Time request_sent_at, absl::Time now);
   absl::Duration RetryAfter(absl::Time now) const;
 
@@ -38,6 +45,9 @@
   };
 
   void DropExpired(absl::Time now);
+  void CountTaken(absl::Time now);
+  /// Returns the smoothed number of granted tokens that were used per second.
+  double TakenRate(absl::Time now) const;
   void UpdateDemandRate(absl::Time now);
   /// Returns how many of the tokens are expected to be used before they expire.
   double Usable(absl::Time now) const;
@@ -62,6 +72,13 @@
   absl::Time waiting_after_ = absl::InfinitePast();
   absl::Time stock_after_ = absl::InfinitePast();
   absl::Time retry_at_ = absl::InfinitePast();
+  /// Granted tokens used per second, as of `taken_updated_`.
+  double taken_rate_ = 0;
+  absl::Time taken_updated_ = absl::InfinitePast();
+  /// Rate and level of the tokens that may be used without the owner, as of `standing_refilled_`.
+  double standing_rate_ = 0;
+  double standing_level_ = 0;
+  absl::Time standing_refilled_ = absl::InfinitePast();
 };
 
 }  // namespace teaseljunction
--- a/src/shares/internal/share_holder.cc
+++ b/src/shares/internal/share_holder.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr absl::Duration kUnknownRetryAfter = absl::Seconds(1);
+// Longer than a change of the leader takes. Daemons that are cut off from the owner while others
+// are not use tokens beyond the rate, so the time is bounded.
+constexpr absl::Duration kStandingTime = absl::Milliseconds(1200);
 
 }  // namespace
 
@@ -34,6 +37,18 @@
   return share != accounts_.end() && share->second.TryTake(now);
 }
 
+void share_holder::OwnerLost(absl::Time now) {
+  if (owner_lost_at_) return;
+  owner_lost_at_ = now;
+  for (auto& [account, share] : accounts_) share.OwnerLost(now);
+}
+
+bool share_holder::TakeStanding(absl::string_view account, absl::Time now) {
+  if (!owner_lost_at_ || now - *owner_lost_at_ > kStandingTime) return false;
+  const auto share = accounts_.find(account);
+  return share != accounts_.end() && share->second.TakeStanding(now);
+}
+
 void share_holder::AddWaiting(absl::string_view account) {
   const auto share = accounts_.find(account);
   if (share != accounts_.end()) share->second.AddWaiting();
--- a/src/shares/share_holder.h
+++ b/src/shares/share_holder.h
@@ -6,6 +6,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "shares/types.h"
 
@@ -33,6 +34,19 @@
   /// Takes one token for a request. False when there is none, or when all have expired.
   bool TryTake(absl::string_view account, absl::Time now);
 
+  /// Tells that the owner cannot be asked. For a short time, which covers a change of the owner,
+  /// `TakeStanding` then lets requests through at the rate of before. Answers the load of accounts
+  /// inside their rates while the owner's host is down, frozen or cut off. Ignored when the owner
+  /// is known to be lost.
+  void OwnerLost(absl::Time now);
+
+  /// Ends what `OwnerLost` began.
+  void OwnerFound() { owner_lost_at_.reset(); }
+
+  /// Takes one token while the owner cannot be asked. False when the owner is not lost, when the
+  /// time for such tokens is over, and when the daemon's part of the rate is used up.
+  bool TakeStanding(absl::string_view account, absl::Time now);
+
   /// Counts a call that waits for a token. It calls `TryTake` again after each `ApplyGrants`.
   void AddWaiting(absl::string_view account);
 
@@ -59,6 +73,7 @@
   absl::flat_hash_map<std::string, account_share> accounts_;
   /// Time of the last request whose response was applied.
   absl::Time last_applied_ = absl::InfinitePast();
+  absl::optional<absl::Time> owner_lost_at_;
 };
 
 }  // namespace teaseljunction
--- a/src/shares/tests/shares_test.cc
+++ b/src/shares/tests/shares_test.cc
@@ -28,6 +28,47 @@
 
 }  // namespace
 
+// Guards against requests inside the rate that are refused while a lost leader is replaced, and
+// against an account that exceeds its rate meanwhile.
+TEST_CASE("a holder goes on for a short time when the owner is lost") {
+  const account_rate account = {"large", 1000, 1000};
+  share_owner owner;
+  owner.SetAccounts(std::vector<account_rate>{account}, At(0));
+  owner.StartTerm(At(0));
+  share_holder holder;
+  holder.SetAccounts(std::vector<account_rate>{account}, At(0));
+  const double rate = 400;
+  double now = 2;
+  int taken = 0;
+  for (int i = 0; i < 6 * rate; ++i, now += 1 / rate) {
+    if (i % 20 == 0) {
+      std::vector<token_grant> grants;
+      for (const token_demand& demand : holder.CollectDemands(At(now))) {
+        grants.push_back(owner.Demand(demand, At(now)));
+      }
+      holder.ApplyGrants(grants, At(now), At(now));
+    }
+    taken += holder.TryTake("large", At(now)) ? 1 : 0;
+  }
+  CHECK(taken > 0.95 * 6 * rate);
+  CHECK_FALSE(holder.TakeStanding("large", At(now)));
+  holder.OwnerLost(At(now));
+  const double lost = now;
+  int standing = 0;
+  for (; now < lost + 1; now += 1 / rate) {
+    standing += holder.TakeStanding("large", At(now)) ? 1 : 0;
+  }
+  CHECK(standing > 0.6 * rate);
+  CHECK(standing <= 0.9 * rate);
+  // An account without requests before has no part.
+  CHECK_FALSE(holder.TakeStanding("small", At(now)));
+  // Told again, the time does not start over.
+  holder.OwnerLost(At(now));
+  CHECK_FALSE(holder.TakeStanding("large", At(lost + 1.3)));
+  holder.OwnerFound();
+  CHECK_FALSE(holder.TakeStanding("large", At(lost + 1.3)));
+}
+
 // Guards against an account that exceeds its rate and burst over all hosts.
 TEST_CASE("use stays within burst and rate under faults") {
   struct fault_case {
