Use the local target at once after a restart of its daemon

Ruled out: late configuration. It was in force everywhere 0.25 s after the election. Change: the daemon probes the target named in its settings when it has a configuration, and uses it until it announces itself. Targets that tell their time to warm up are spared for that time only.

--- a/src/balancer/internal/target_state.cc
+++ b/src/balancer/internal/target_state.cc
@@ -10,6 +10,8 @@
 
 constexpr absl::Duration kRampTime = absl::Seconds(10);
 constexpr double kRampStart = 0.1;
+/// Share of a target that says that it is still slow.
+constexpr double kWarmingShare = 0.5;
 
 constexpr uint32_t kConsecutiveFailures = 5;
 constexpr double kFailureShare = 0.3;
@@ -86,6 +88,7 @@
 }
 
 double target_state::Ramp(absl::Time now) const {
+  if (target.warm_up) return now < joined + *target.warm_up ? kWarmingShare : 1;
   if (!cold) return 1;
   const double progress = absl::FDivDuration(now - joined, kRampTime);
   return std::clamp(kRampStart + (1 - kRampStart) * progress, kRampStart, 1.0);
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -80,6 +80,28 @@
   }
 }
 
+// Guards against a target that was only out of sight, because the daemon beside it was restarted,
+// and then gets few calls for seconds.
+TEST_CASE("a target that tells that it is warm gets its part at once") {
+  for (const auto warm_up : {absl::ZeroDuration(), absl::Seconds(3)}) {
+    fake_service service(7, 10);
+    service.Run(5, 500);
+    const balancer_target returning = service.targets.back();
+    service.targets.pop_back();
+    service.Announce();
+    service.targets.push_back(returning);
+    service.targets.back().warm_up = warm_up;
+    service.Announce();
+    service.Run(2, 500);
+    const double least = warm_up == absl::ZeroDuration() ? 0.75 : 0.2;
+    CHECK(service.Part(9, 10) > least);
+    if (warm_up > absl::ZeroDuration()) CHECK(service.Part(9, 10) < 0.85);
+    service.Run(2, 500);
+    service.Run(2, 500);
+    CHECK(service.Part(9, 10) > 0.75);
+  }
+}
+
 // Guards against an ejection that takes away more than half of the capacity, and against one that
 // spreads a fault behind the service to its targets.
 TEST_CASE("at most half of the targets are ejected") {
--- a/src/balancer/types.h
+++ b/src/balancer/types.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "common/types.h"
 
 namespace teaseljunction {
@@ -21,6 +22,8 @@
   /// Announced load, 0 to 1; only a tie-breaker.
   double announced_load = 0;
   bool draining = false;
+  /// Time for which the target stays slow; unset when it does not tell.
+  absl::optional<absl::Duration> warm_up;
 };
 
 /// The target of one attempt.
--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -148,6 +148,7 @@
   uint64_t kept_records = 1000;
   /// Voters that must have stored a record before it is committed, beside the majority.
   uint64_t min_copies = 1;
+  raft_times times;
   replicated_state_limits limits;
 };
 
--- a/src/control/internal/member_core.cc
+++ b/src/control/internal/member_core.cc
@@ -72,6 +72,7 @@
 void member_core::StartReplica(stored_log stored, absl::Time now) {
   const absl::optional<log_snapshot> snapshot = stored.snapshot;
   raft_settings settings;
+  static_cast<raft_times&>(settings) = settings_.times;
   settings.kept_records = settings_.kept_records;
   settings.min_copies = settings_.min_copies;
   replica_.emplace(settings, std::move(stored), settings_.address, random_, now);
--- a/src/control/raft_replica.h
+++ b/src/control/raft_replica.h
@@ -17,12 +17,7 @@
 namespace teaseljunction {
 
 /// Times and limits of a replica. All members of a group use the same values.
-struct raft_settings {
-  absl::Duration heartbeat = absl::Milliseconds(100);
-  absl::Duration election_timeout_min = absl::Milliseconds(500);
-  absl::Duration election_timeout_max = absl::Milliseconds(1000);
-  /// Must be below `election_timeout_min` by more than the drift of two clocks.
-  absl::Duration lease = absl::Milliseconds(400);
+struct raft_settings : raft_times {
   /// Largest relative error of a clock's rate.
   double clock_drift = 0.01;
   /// A lost snapshot message is sent again after this time.
--- a/src/control/types.h
+++ b/src/control/types.h
@@ -13,6 +13,16 @@
 
 namespace teaseljunction {
 
+/// Times of the agreement between control members, the same at all of them. The defaults suit data
+/// centres some tens of milliseconds apart.
+struct raft_times {
+  absl::Duration heartbeat = absl::Milliseconds(100);
+  absl::Duration election_timeout_min = absl::Milliseconds(500);
+  absl::Duration election_timeout_max = absl::Milliseconds(1000);
+  /// Must be below `election_timeout_min` by more than the drift of two clocks.
+  absl::Duration lease = absl::Milliseconds(400);
+};
+
 /// Puts a manifest in force. `digest` covers `content`, the text in the format of the deployment.
 struct submit_manifest {
   uint64_t version = 0;
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -12,6 +12,7 @@
 #include "daemon/node.h"
 #include "daemon/operator_handler.h"
 #include "daemon/sync_loop.h"
+#include "daemon/target_probe.h"
 #include "gateway/entry_service.h"
 #include "http/curl_client.h"
 #include "http/http_server.h"
@@ -104,6 +105,7 @@
   account_limiter accounts_;
   std::unique_ptr<leader_client> control_;
   std::unique_ptr<target_executor> executor_;
+  std::unique_ptr<target_probe> probe_;
   std::unique_ptr<peer_raft_transport> raft_;
   manifest_announcer announcer_{loop_};
   std::unique_ptr<control_member> member_;
@@ -149,7 +151,12 @@
       std::make_unique<sync_loop>(sync_ports{clock_, loop_, *peers_, locator_, config_, accounts_,
                                              targets_, *executor_, quarantine_, decode_},
                                   settings_, NewIncarnation());
+  probe_ = std::make_unique<target_probe>(
+      probe_ports{clock_, loop_, *client_, *executor_, resolver_.headers}, settings_.local_target,
+      [this] { sync_->RequestSync(); });
   sync_->OnManifest([this](const manifest_index& manifest) {
+    const service* beside = manifest.FindService(settings_.local_target.service);
+    if (beside != nullptr) probe_->Start(beside->health_path);
     const auto target = executor_->Target();
     const service* own = target ? manifest.FindService(target->service) : nullptr;
     executor_->SetMaxConcurrency(own == nullptr ? 0 : own->max_concurrency);
@@ -183,6 +190,7 @@
   settings.data_centre = settings_.data_centre;
   if (settings_.may_bootstrap) settings.initial_peers = settings_.control_peers;
   settings.min_copies = settings_.durable_copies;
+  settings.times = settings_.control_times;
   settings.data_folder = settings_.data_dir;
   BOOST_LEAF_ASSIGN(member_, control_member_builder()
                                  .WithSettings(std::move(settings))
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -6,10 +6,18 @@
 #include "absl/time/time.h"
 #include "common/log_settings.h"
 #include "common/result.h"
+#include "control/types.h"
 #include "daemon/account_rates.h"
 
 namespace teaseljunction {
 
+/// The target beside a daemon, where the deployment tells it.
+struct local_target_settings {
+  /// "IP:port"; empty when the daemon waits for the target's announcement.
+  std::string address;
+  std::string service;
+};
+
 /// Settings of the daemon, checked.
 struct daemon_settings {
   /// Address for callers and for the local target, "IP:port".
@@ -31,10 +39,15 @@
   uint32_t control_voters = 0;
   /// Control members that must have stored a manifest before it is accepted, beside the majority.
   uint32_t durable_copies = 1;
+  /// Times of the agreement between control members.
+  raft_times control_times;
   /// True when this member may start a new group with the other `control_peers`.
   bool may_bootstrap = true;
   /// Time for which an announcement of the target is valid.
   absl::Duration target_lease = absl::Seconds(3);
+  /// Probed at the start of the daemon, so that a restart does not cost the time until the target's
+  /// next announcement.
+  local_target_settings local_target;
   /// Retries to a service as a share of its first attempts; below 0 takes that of the manifest.
   double retry_ratio = -1;
   /// Retries per second, and at once, that this daemon may send to each service beside its ratio.
--- a/src/gateway/call_headers.h
+++ b/src/gateway/call_headers.h
@@ -22,6 +22,11 @@
   std::string caller_service;
   /// Id of the process that the request is meant for; other processes refuse it.
   std::string target_id;
+  /// Header of a target's answer to a health probe with the id of its process.
+  std::string told_target_id;
+  /// Header of a target's answer with its running calls, waiting calls and slots, separated by
+  /// commas.
+  std::string told_load;
   /// Header that each answer of a target has; a success without it is not the target's.
   std::string answer_mark;
   /// True when targets see the host that the caller named.
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -109,11 +109,25 @@
   return processed;
 }
 
+bool target_executor::Adopt(const target_announcement& found) {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = ports_.clock.Now();
+  if (!lease_.Adopt(found, now)) return false;
+  LOG(INFO) << "membership: target " << found.target_id << " of service " << found.service
+            << " answers at " << found.address << " and is used until it announces itself.";
+  ApplySlots(now);
+  return true;
+}
+
 void target_executor::Leave(uint64_t incarnation) {
   absl::MutexLock lock(&mutex_);
   const absl::Time now = ports_.clock.Now();
   const auto target = lease_.Current(now);
-  if (!target || target->incarnation != incarnation) return;
+  if (!target || target->incarnation != incarnation) {
+    // A probe that is on its way must not bring back a target that has left.
+    lease_.Withdraw(incarnation);
+    return;
+  }
   LOG(INFO) << "membership: target " << target->target_id << " of service " << target->service
             << (target->draining ? " has withdrawn." : " leaves without draining first.");
   if (!target->draining) {
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -59,6 +59,10 @@
   /// Processes an announcement of the target.
   announce_result Announce(const target_announcement& announced);
 
+  /// Takes a target that answered a probe, unless a target has announced itself. Returns false
+  /// when it was not taken.
+  bool Adopt(const target_announcement& found);
+
   /// Runs a call and its completion exactly once.
   std::shared_ptr<execution> Execute(call request, completion done);
 
--- /dev/null
+++ b/src/gateway/tests/mocks/fake_http_client.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "http/http_client.h"
+
+namespace teaseljunction {
+
+/// Keeps the requests that were sent to the target, until the test answers them.
+class fake_http_client : public http_client {
+ public:
+  uint64_t Send(absl::string_view, http_request request, bool at_most_once, absl::Duration,
+                absl::AnyInvocable<void(outcome<http_response>)> completion) override {
+    last_at_most_once = at_most_once;
+    last_path = request.path;
+    open[++last_id] = std::move(completion);
+    return last_id;
+  }
+  void Cancel(uint64_t id) override { End(id, error{error_kind::kCancelled, ""}); }
+
+  void End(uint64_t id, outcome<http_response> response) {
+    auto ended = open.extract(id);
+    ended.mapped()(std::move(response));
+  }
+
+  std::map<uint64_t, absl::AnyInvocable<void(outcome<http_response>)>> open;
+  uint64_t last_id = 0;
+  bool last_at_most_once = false;
+  std::string last_path;
+};
+
+}  // namespace teaseljunction
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -1,35 +1,14 @@
 #include "gateway/target_executor.h"
 
 #include <catch2/catch.hpp>
-#include <map>
 
+#include "gateway/tests/mocks/fake_http_client.h"
 #include "gateway/tests/mocks/fake_ports.h"
 #include "gateway/tests/mocks/virtual_scheduler.h"
 
 namespace teaseljunction {
 namespace {
 
-// Keeps the requests that were sent to the target, until the test answers them.
-class fake_http_client : public http_client {
- public:
-  uint64_t Send(absl::string_view, http_request, bool at_most_once, absl::Duration,
-                absl::AnyInvocable<void(outcome<http_response>)> completion) override {
-    last_at_most_once = at_most_once;
-    open[++last_id] = std::move(completion);
-    return last_id;
-  }
-  void Cancel(uint64_t id) override { End(id, error{error_kind::kCancelled, ""}); }
-
-  void End(uint64_t id, outcome<http_response> response) {
-    auto ended = open.extract(id);
-    ended.mapped()(std::move(response));
-  }
-
-  std::map<uint64_t, absl::AnyInvocable<void(outcome<http_response>)>> open;
-  uint64_t last_id = 0;
-  bool last_at_most_once = false;
-};
-
 struct executor_fixture {
   virtual_scheduler time;
   seeded_random_source random{3};
@@ -42,7 +21,9 @@
                            "d1", admission_controller_builder().Build()};
   std::vector<execute_result> results;
 
-  executor_fixture() { Announce(1); }
+  explicit executor_fixture(bool announced = true) {
+    if (announced) Announce(1);
+  }
 
   announce_result Announce(uint64_t incarnation) {
     return executor.Announce({"stock", incarnation, 8, false, 0, "127.0.0.1:1"});
@@ -131,6 +112,30 @@
   CHECK(fixture.Announce(1) == announce_result::kOutdated);
 }
 
+// Guards against a probe that is overtaken by the target's withdrawal and brings it back, and against
+// a target that is lost to its own first announcement.
+TEST_CASE("a probed target serves until it announces itself or leaves") {
+  target_announcement found{"stock", 0, 8, false, 0, "127.0.0.1:1"};
+  found.target_id = "i-1";
+  executor_fixture fixture;
+  CHECK_FALSE(fixture.executor.Adopt(found));
+  executor_fixture restarted(false);
+  CHECK(restarted.executor.Adopt(found));
+  restarted.Send("f");
+  CHECK(restarted.client.last_id == 1);
+  target_announcement announced = found;
+  announced.incarnation = 7;
+  CHECK(restarted.executor.Announce(announced) == announce_result::kRenewed);
+  CHECK(restarted.results.empty());
+  executor_fixture left(false);
+  left.executor.Leave(0);
+  CHECK_FALSE(left.executor.Adopt(found));
+  executor_fixture leaving(false);
+  CHECK(leaving.executor.Adopt(found));
+  leaving.executor.Leave(0);
+  CHECK(leaving.executor.Target()->draining);
+}
+
 // Guards against an answer that is delivered twice or after its call was cancelled.
 TEST_CASE("each call ends once") {
   executor_fixture fixture;
--- a/src/manifest/types.h
+++ b/src/manifest/types.h
@@ -31,6 +31,9 @@
   uint32_t max_concurrency = 0;
   /// Retries to the service as a share of its first attempts, 0 to 1.
   double retry_ratio = 0.1;
+  /// Path at which a target tells whether it is healthy; empty when there is none. Not part of the
+  /// product's own format.
+  std::string health_path;
 };
 
 /// One of the services over which the requests of a route are divided.
--- a/src/membership/internal/directory.cc
+++ b/src/membership/internal/directory.cc
@@ -33,7 +33,9 @@
 // Copies what is published only now and then, so that it is left out of a comparison.
 void CopyMinorFields(const daemon_announcement& from, daemon_announcement& to) {
   to.manifest_version = from.manifest_version;
-  if (from.target && to.target) to.target->load = from.target->load;
+  if (!from.target || !to.target) return;
+  to.target->load = from.target->load;
+  to.target->warm_up = from.target->warm_up;
 }
 
 bool LoadMoved(const daemon_announcement& known, const daemon_announcement& next) {
--- a/src/membership/internal/target_lease.cc
+++ b/src/membership/internal/target_lease.cc
@@ -3,6 +3,21 @@
 #include <algorithm>
 
 namespace teaseljunction {
+namespace {
+
+// An adopted target that has withdrawn at an earlier process of the daemon never announces itself.
+constexpr absl::Duration kAdoptionLease = absl::Seconds(2);
+
+}  // namespace
+
+bool target_lease::Adopt(const target_announcement& found, absl::Time now) {
+  Expire(now);
+  if (reported_ || target_) return false;
+  adopted_ = true;
+  target_ = found;
+  expiry_ = now + std::min(duration_, kAdoptionLease);
+  return true;
+}
 
 announce_result target_lease::Announce(const target_announcement& announcement, absl::Time now) {
   Expire(now);
@@ -10,6 +25,10 @@
   const bool later = announcement.incarnation > highest_incarnation_;
   if (!later && withdrawn_) return announce_result::kOutdated;
   const bool had_target = target_.has_value();
+  const bool same_as_adopted =
+      adopted_ && had_target && target_->target_id == announcement.target_id;
+  adopted_ = false;
+  reported_ = true;
   if (later) {
     highest_incarnation_ = announcement.incarnation;
     withdrawn_ = false;
@@ -22,10 +41,12 @@
   target_->draining = draining_;
   expiry_ = now + duration_;
   if (!had_target) return announce_result::kJoined;
+  if (same_as_adopted) return announce_result::kRenewed;
   return later ? announce_result::kReplaced : announce_result::kRenewed;
 }
 
 bool target_lease::Withdraw(uint64_t incarnation) {
+  reported_ = true;
   if (incarnation < highest_incarnation_) return false;
   highest_incarnation_ = incarnation;
   withdrawn_ = true;
@@ -34,6 +55,7 @@
 }
 
 bool target_lease::Drain(uint64_t incarnation, absl::Time now) {
+  reported_ = true;
   Expire(now);
   if (!target_ || target_->incarnation != incarnation) return false;
   draining_ = true;
--- a/src/membership/target_lease.h
+++ b/src/membership/target_lease.h
@@ -34,6 +34,10 @@
   /// announcement does not bring new work to a target that is leaving.
   announce_result Announce(const target_announcement& announcement, absl::Time now);
 
+  /// Takes a target that answered a probe, for a time shorter than the lease, until it announces
+  /// itself. Returns false, and changes nothing, once a target has announced itself or withdrawn.
+  bool Adopt(const target_announcement& found, absl::Time now);
+
   /// Ends the lease of this incarnation; it cannot announce itself again. Returns false when a
   /// later incarnation is known.
   bool Withdraw(uint64_t incarnation);
@@ -53,6 +57,10 @@
  private:
   absl::Duration duration_;
   absl::optional<target_announcement> target_;
+  /// True once a target has announced itself, drained or withdrawn.
+  bool reported_ = false;
+  /// True while the target is known from a probe only.
+  bool adopted_ = false;
   absl::Time expiry_ = absl::InfinitePast();
   /// Highest incarnation that was announced or withdrawn.
   uint64_t highest_incarnation_ = 0;
--- a/src/membership/tests/directory_test.cc
+++ b/src/membership/tests/directory_test.cc
@@ -145,6 +145,7 @@
   for (int second = 0; second < 600; ++second) {
     now += absl::Seconds(1);
     daemon.target->load = second % 2;
+    daemon.target->warm_up = absl::Milliseconds(600 - second);
     daemon.manifest_version = static_cast<uint64_t>(second);
     leader.Heartbeat(daemon, now);
     CHECK(leader.Expire(now) == 0);
--- a/src/membership/tests/target_lease_test.cc
+++ b/src/membership/tests/target_lease_test.cc
@@ -68,4 +68,36 @@
   CHECK_FALSE(lease.Current(At(1))->draining);
 }
 
+// Guards against a probe that brings back a target which has drained, withdrawn or been replaced,
+// and against a target that is known only from a probe for long.
+TEST_CASE("a target is adopted only until one has announced itself") {
+  target_announcement found = Target(0);
+  found.target_id = "i-1";
+  target_announcement announced = Target(5);
+  announced.target_id = "i-1";
+  target_lease lease;
+  CHECK(lease.Adopt(found, At(0)));
+  CHECK_FALSE(lease.Adopt(found, At(0.5)));
+  CHECK(lease.Current(At(1.9)));
+  CHECK_FALSE(lease.Current(At(2)));
+  CHECK(lease.Adopt(found, At(2)));
+  CHECK(lease.Announce(announced, At(3)) == announce_result::kRenewed);
+  CHECK(lease.Current(At(5.9))->incarnation == 5);
+  CHECK_FALSE(lease.Adopt(found, At(7)));
+
+  target_lease other;
+  CHECK(other.Adopt(found, At(0)));
+  announced.target_id = "i-2";
+  CHECK(other.Announce(announced, At(1)) == announce_result::kReplaced);
+
+  target_lease drained;
+  CHECK(drained.Adopt(found, At(0)));
+  CHECK(drained.Drain(0, At(0)));
+  CHECK(drained.Current(At(1))->draining);
+
+  target_lease withdrawn;
+  withdrawn.Withdraw(0);
+  CHECK_FALSE(withdrawn.Adopt(found, At(0)));
+}
+
 }  // namespace teaseljunction
--- a/src/membership/types.h
+++ b/src/membership/types.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "absl/types/optional.h"
 
 namespace teaseljunction {
@@ -23,6 +24,9 @@
   std::string address;
   /// Name of the target's process, told with each request; empty when the target has none.
   std::string target_id;
+  /// Time for which the target stays slow after its start, zero when it is warm. Unset when it does
+  /// not tell.
+  absl::optional<absl::Duration> warm_up;
   bool operator==(const target_announcement&) const = default;
 };
 
--- a/src/rpc/internal/client_loop.cc
+++ b/src/rpc/internal/client_loop.cc
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(20);
-constexpr absl::Duration kMaxBackoff = absl::Seconds(1);
+// Control members come back together after a fault, and callers wait for them.
+constexpr absl::Duration kMaxBackoff = absl::Milliseconds(250);
 /// Bound of the bytes that wait to be sent to one peer. Calls beyond it are not sent.
 constexpr size_t kMaxQueuedBytes = size_t{64} << 20;
 
--- a/src/rpc/internal/convert_sync.cc
+++ b/src/rpc/internal/convert_sync.cc
@@ -11,6 +11,7 @@
   out.setLoad(value.load);
   out.setAddress(ToText(value.address));
   out.setTargetId(ToText(value.target_id));
+  if (value.warm_up) out.setWarmUpMs(absl::ToInt64Milliseconds(*value.warm_up));
 }
 
 target_announcement Decode(wire::Target::Reader in) {
@@ -22,6 +23,7 @@
   value.load = in.getLoad();
   value.address = FromText(in.getAddress());
   value.target_id = FromText(in.getTargetId());
+  if (in.getWarmUpMs() >= 0) value.warm_up = absl::Milliseconds(in.getWarmUpMs());
   return value;
 }
 
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -75,6 +75,8 @@
   load @4 :Float64;
   address @5 :Text;
   targetId @6 :Text;
+  # Below 0 when the target does not tell.
+  warmUpMs @7 :Int64 = -1;
 }
 
 struct Daemon {
