Use tokens that have expired unused while the leader is lost

With 69 daemons and 77 accounts the part of a daemon is below a token a second, so the standing share of a daemon never reached a whole token. Ruled out: a detection that is too late; the refused requests waited their full 150 ms. Change: while the leader is lost, a daemon first uses the tokens of its last grants that have expired unused. The owner has debited them.

--- a/src/shares/internal/account_share.cc
+++ b/src/shares/internal/account_share.cc
@@ -32,7 +32,10 @@
 }  // namespace
 
 void account_share::Configure(const account_rate& account) {
-  if (account.rate != account_.rate || account.burst != account_.burst) batches_.clear();
+  if (account.rate != account_.rate || account.burst != account_.burst) {
+    batches_.clear();
+    lapsed_ = 0;
+  }
   account_ = account;
 }
 
@@ -67,6 +70,13 @@
 }
 
 bool account_share::TakeStanding(absl::Time now) {
+  DropExpired(now);
+  // The owner has debited these tokens. With many daemons most of an account's tokens are in such
+  // stocks, and the part of the rate of one daemon is below a token a second.
+  if (lapsed_ > 0) {
+    --lapsed_;
+    return true;
+  }
   const double most = std::max(1.0, standing_rate_ * absl::ToDoubleSeconds(kStandingKept));
   const double added = standing_rate_ * absl::ToDoubleSeconds(now - standing_refilled_);
   standing_level_ = std::min(most, standing_level_ + added);
@@ -81,7 +91,11 @@
 }
 
 void account_share::DropExpired(absl::Time now) {
-  std::erase_if(batches_, [now](const batch& held) { return held.expiry <= now; });
+  std::erase_if(batches_, [this, now](const batch& held) {
+    if (held.expiry > now) return false;
+    lapsed_ += held.tokens;
+    return true;
+  });
 }
 
 void account_share::UpdateDemandRate(absl::Time now) {
@@ -148,6 +162,7 @@
     return;
   }
   missed_ = 0;
+  lapsed_ = 0;
   if (grant.tokens < requested_waiting_) waiting_after_ = now + pause;
   const absl::Time expiry = request_sent_at + grant.lifetime;
   if (expiry <= now) return;
--- a/src/shares/internal/account_share.h
+++ b/src/shares/internal/account_share.h
@@ -30,8 +30,8 @@
   /// Begins the time in which the owner cannot be asked. See `TakeStanding`.
   void OwnerLost(absl::Time now);
 
-  /// Takes a token while the owner cannot be asked, at most at a part of the rate at which this
-  /// daemon was granted tokens before.
+  /// Takes a token while the owner cannot be asked: one that the owner granted last and that has
+  /// expired unused, or one at a part of the rate at which this daemon used granted tokens before.
   bool TakeStanding(absl::Time now);
 
   void ApplyGrant(const token_grant& grant, absl::Time request_sent_at, absl::Time now);
@@ -75,6 +75,8 @@
   /// Granted tokens used per second, as of `taken_updated_`.
   double taken_rate_ = 0;
   absl::Time taken_updated_ = absl::InfinitePast();
+  /// Tokens of the last grants that have expired unused.
+  uint32_t lapsed_ = 0;
   /// Rate and level of the tokens that may be used without the owner, as of `standing_refilled_`.
   double standing_rate_ = 0;
   double standing_level_ = 0;
