Write the last log lines before a process ends

Two processes were killed at the end of the grace time, and the log could not tell where they stood.

--- a/src/common/internal/log.cc
+++ b/src/common/internal/log.cc
@@ -11,6 +11,7 @@
 namespace teaseljunction {
 namespace {
 
+constexpr absl::Duration kFlushTimeout = absl::Milliseconds(250);
 constexpr char kTimeFormat[] = "%Y-%m-%dT%H:%M:%E3S";
 
 // Never destroyed, because threads may write until the process ends.
@@ -63,6 +64,10 @@
   return true;
 }
 
+void FlushLog() {
+  if (Writer() != nullptr) Writer()->Flush(kFlushTimeout);
+}
+
 void WriteLogLine(absl::string_view line) {
   if (Writer() == nullptr) {
     // The log goes to a file, or was not configured.
--- a/src/common/internal/log_writer.cc
+++ b/src/common/internal/log_writer.cc
@@ -22,6 +22,7 @@
   {
     absl::MutexLock lock(&mutex_);
     stopping_ = true;
+    hurried_ = true;
   }
   thread_.join();
 }
@@ -35,6 +36,15 @@
   absl::StrAppend(&buffer_, line, "\n");
 }
 
+void log_writer::Flush(absl::Duration timeout) {
+  absl::MutexLock lock(&mutex_);
+  hurried_ = true;
+  const auto written = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    return buffer_.empty() && !writing_;
+  };
+  mutex_.AwaitWithTimeout(absl::Condition(&written), timeout);
+}
+
 uint64_t log_writer::LeftOut() const {
   absl::MutexLock lock(&mutex_);
   return left_out_;
@@ -76,14 +86,17 @@
       };
       mutex_.Await(absl::Condition(&has_lines));
       // Lines that follow soon are written with the first one.
-      mutex_.AwaitWithTimeout(absl::Condition(&stopping_), kFlushInterval);
+      mutex_.AwaitWithTimeout(absl::Condition(&hurried_), kFlushInterval);
       stopping = stopping_;
       taken = Take();
+      writing_ = true;
     }
     const absl::Time deadline =
         stopping ? clock.Now() + kFlushInterval : clock.Now() + absl::Seconds(10);
-    if (WriteAll(taken, deadline)) continue;
+    const bool written = WriteAll(taken, deadline);
     absl::MutexLock lock(&mutex_);
+    writing_ = false;
+    if (written) continue;
     for (const char character : taken) left_out_ += character == '\n' ? 1 : 0;
   }
 }
--- a/src/common/log_settings.h
+++ b/src/common/log_settings.h
@@ -23,4 +23,8 @@
 /// reader of the log is too slow, lines are left out and counted.
 void WriteLogLine(absl::string_view line);
 
+/// Returns when all lines so far are written, or after a quarter of a second. To be called before
+/// the process ends, whose last lines would otherwise be lost.
+void FlushLog();
+
 }  // namespace teaseljunction
--- a/src/common/log_writer.h
+++ b/src/common/log_writer.h
@@ -31,6 +31,9 @@
   /// Adds a line without its end. Returns at once.
   void Write(absl::string_view line);
 
+  /// Returns when the lines that were added before are written, or after `timeout`.
+  void Flush(absl::Duration timeout);
+
   /// Number of lines that were left out so far.
   uint64_t LeftOut() const;
 
@@ -47,6 +50,10 @@
   uint64_t left_out_ ABSL_GUARDED_BY(mutex_) = 0;
   uint64_t reported_ ABSL_GUARDED_BY(mutex_) = 0;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  // True while lines that were taken from the buffer are not written yet.
+  bool writing_ ABSL_GUARDED_BY(mutex_) = false;
+  // True when lines are not collected any longer, because the process is about to stop.
+  bool hurried_ ABSL_GUARDED_BY(mutex_) = false;
   std::thread thread_;
 };
 
--- a/src/common/tests/log_writer_test.cc
+++ b/src/common/tests/log_writer_test.cc
@@ -46,6 +46,17 @@
   CHECK(pipe.ReadAll() == "first\nsecond\n");
 }
 
+// Guards against a process whose last lines, which tell how it stopped, are lost with it.
+TEST_CASE("flushed lines are written although the writer goes on") {
+  pipe_pair pipe;
+  log_writer writer(pipe.ends[1]);
+  writer.Write("first");
+  writer.Flush(absl::Seconds(10));
+  std::array<char, 16> text;
+  REQUIRE(fcntl(pipe.ends[0], F_SETFL, O_NONBLOCK) == 0);
+  CHECK(read(pipe.ends[0], text.data(), text.size()) == 6);
+}
+
 // Guards against calls that wait for a reader of the log: with nobody reading, far more lines than
 // the pipe and the buffer can hold are taken, and the surplus is counted.
 TEST_CASE("a reader that is stuck costs lines and not time") {
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -50,7 +50,11 @@
   auto process = std::get<std::unique_ptr<daemon_process>>(std::move(built));
   StopOnSignal(signals, *process);
   process->Start();
-  return process->Run() ? EXIT_SUCCESS : EXIT_FAILURE;
+  const bool finished = process->Run();
+  process.reset();
+  LOG(INFO) << "daemon: stopped.";
+  FlushLog();
+  return finished ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 }  // namespace
