Weigh the way to another data centre against the target latency

A target counted as faster when it saved a quarter of the own latency, which hosts of different speed always do, although the saved time is a small part of what callers allow. Change: a remote target must be 2.5 times faster while the own latency is below 0.3 of the target latency, and a quarter faster above it.

--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -32,11 +32,13 @@
 
   /// Returns the target for the next attempt of a call, or nothing when the service has no target
   /// that is neither draining nor excluded. Ejected targets and targets that would refuse the call
-  /// are returned only when there is no other.
+  /// are returned only when there is no other. A call that takes long in relation to its
+  /// `target_latency` goes to another data centre for a smaller gain.
   absl::optional<target_choice> Choose(absl::string_view service, request_priority priority,
                                        uint8_t cohort,
                                        absl::Span<const std::string> excluded_daemon_ids,
-                                       absl::Time now);
+                                       absl::Time now,
+                                       absl::Duration target_latency = absl::InfiniteDuration());
 
   /// Records that an attempt was sent to the target. Each call needs one call of `Finished`.
   void Started(absl::string_view daemon_id, absl::Time now);
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -13,9 +13,13 @@
 
 constexpr size_t kLargestSubset = 64;
 /// Gain in seconds above which a target in another data centre is used, and the least part of the
-/// own latency that it has to be. Averages of few samples differ by chance.
+/// own latency that it has to be. Hosts of one service often differ in speed by a factor of two,
+/// and traffic between data centres costs more than that difference, as long as the own latency is
+/// a small part of the target latency.
 constexpr double kRemoteGain = 0.0015;
-constexpr double kRemoteGainPart = 0.25;
+constexpr double kRemoteGainPart = 0.6;
+constexpr double kUrgentRemoteGainPart = 0.25;
+constexpr double kSmallPartOfTarget = 0.3;
 /// One of this many calls stays in a slow data centre, so that its recovery is noticed.
 constexpr uint32_t kLocalProbe = 32;
 /// Scores within this part of each other count as equal.
@@ -36,6 +40,8 @@
   uint8_t cohort;
   absl::Span<const std::string> excluded;
   absl::Time now;
+  /// In seconds.
+  double target_latency = std::numeric_limits<double>::infinity();
 
   bool Excluded(const target_state& target) const {
     return std::find(excluded.begin(), excluded.end(), target.target.daemon_id) != excluded.end();
@@ -116,7 +122,8 @@
   const double load = choice.LoadAt(request.now);
   if (load > kCrowdedLoad && load > LeastLoad(service.remote, request.now) + kLoadGain) return true;
   const double gain = local - service.Expected(service.remote, request.now);
-  return gain > std::max(kRemoteGain, kRemoteGainPart * local);
+  const bool urgent = local > kSmallPartOfTarget * request.target_latency;
+  return gain > std::max(kRemoteGain, (urgent ? kUrgentRemoteGainPart : kRemoteGainPart) * local);
 }
 
 target_state* PickTarget(const choice_request& request, fast_random& random) {
@@ -159,10 +166,11 @@
 absl::optional<target_choice> balancer::Choose(absl::string_view service, request_priority priority,
                                                uint8_t cohort,
                                                absl::Span<const std::string> excluded_daemon_ids,
-                                               absl::Time now) {
+                                               absl::Time now, absl::Duration target_latency) {
   const service_state* known = state_->FindService(service);
   if (known == nullptr) return absl::nullopt;
-  const choice_request request{*known, priority, cohort, excluded_daemon_ids, now};
+  const choice_request request{
+      *known, priority, cohort, excluded_daemon_ids, now, absl::ToDoubleSeconds(target_latency)};
   const target_state* chosen = PickTarget(request, state_->random);
   if (chosen == nullptr) return absl::nullopt;
   return target_choice{chosen->target.daemon_id, chosen->target.address, chosen->other_data_centre};
--- a/src/common/types.h
+++ b/src/common/types.h
@@ -85,6 +85,8 @@
   std::string route;
   /// Longest time that the call may wait for its target.
   absl::Duration max_wait = absl::InfiniteDuration();
+  /// Time within which the caller wants its answer. Known at the entry daemon only.
+  absl::Duration target_latency = absl::InfiniteDuration();
   /// True when the client account has a rate. Known at the entry daemon only.
   bool limited = true;
 };
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -235,6 +235,9 @@
   resolved.max_targets = matched.max_targets;
   request.route = matched.name;
   request.max_wait = MaxWait(matched);
+  if (matched.target_latency > absl::ZeroDuration()) {
+    request.target_latency = matched.target_latency;
+  }
 
   absl::Duration timeout;
   BOOST_LEAF_ASSIGN(timeout, TimeoutOf(received, matched, settings.headers.deadline));
--- a/src/gateway/internal/target_selector.cc
+++ b/src/gateway/internal/target_selector.cc
@@ -46,7 +46,8 @@
                                                       absl::Time now) {
   shard& owner = ShardOf(request.service);
   absl::MutexLock lock(&owner.mutex);
-  return owner.targets.Choose(request.service, request.priority, request.cohort, excluded, now);
+  return owner.targets.Choose(request.service, request.priority, request.cohort, excluded, now,
+                              request.target_latency);
 }
 
 bool target_selector::Admits(const call& request, absl::Time now) {
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -112,8 +112,8 @@
   CHECK(fixture.Announce(1) == announce_result::kOutdated);
 }
 
-// Guards against a probe that is overtaken by the target's withdrawal and brings it back, and against
-// a target that is lost to its own first announcement.
+// Guards against a probe that is overtaken by the target's withdrawal and brings it back, and
+// against a target that is lost to its own first announcement.
 TEST_CASE("a probed target serves until it announces itself or leaves") {
   target_announcement found{"stock", 0, 8, false, 0, "127.0.0.1:1"};
   found.target_id = "i-1";
