--- a/src/shares/tests/shares_test.cc
+++ b/src/shares/tests/shares_test.cc
@@ -46,6 +46,77 @@
   CHECK_FALSE(holder.TakeStanding("large", At(1.7)));
 }
 
+// Guards against an account that exceeds its rate and burst because holders go on without the
+// owner: the account begins to send far more than its rate shortly before each loss, and the
+// holders find the next owner one after the other. The bound is that of the deployment: a tenth and
+// 20 requests beyond rate and burst in any five seconds.
+TEST_CASE("use stays within the tolerance while owners are lost") {
+  constexpr double kStep = 0.005;
+  constexpr int kStepsPerSync = 20;
+  constexpr double kWindow = 5;
+  for (const uint64_t seed : Seeds()) {
+    for (const double rate : {20.0, 300.0, 2000.0}) {
+      INFO(Command(seed) << ", rate " << rate);
+      std::mt19937_64 random(seed);
+      std::uniform_real_distribution<double> part(0, 1);
+      const std::vector<account_rate> accounts = {{"a", rate, rate, 0.1 * (rate * kWindow + rate)}};
+      share_owner owner;
+      owner.SetAccounts(accounts, At(0));
+      owner.StartTerm(At(0));
+      std::vector<share_holder> holders(20);
+      std::vector<double> found_at(holders.size(), 0);
+      for (share_holder& holder : holders) holder.SetAccounts(accounts, At(0));
+      std::vector<int> used;
+      int standing = 0;
+      double owner_from = 0;
+      double burst_from = 0;
+      for (int step = 0; step < 30 / kStep; ++step) {
+        const double now = step * kStep;
+        if (step % static_cast<int>(6 / kStep) == static_cast<int>(5 / kStep)) {
+          owner_from = now + 0.3 + 0.6 * part(random);
+          burst_from = now - 1 + 1.5 * part(random);
+          for (double& at : found_at) at = owner_from + 0.3 * part(random);
+          owner.EndTerm();
+          for (share_holder& holder : holders) holder.OwnerLost(At(now + 0.06));
+        }
+        if (owner_from > now - kStep && owner_from <= now) owner.StartTerm(At(now));
+        const double demand = rate * (now > burst_from && now < burst_from + 3 ? 4 : 0.6);
+        int taken = 0;
+        for (size_t i = 0; i < holders.size(); ++i) {
+          if (step % kStepsPerSync == static_cast<int>(i) && now >= found_at[i]) {
+            std::vector<token_grant> grants;
+            for (const token_demand& wanted : holders[i].CollectDemands(At(now))) {
+              grants.push_back(owner.Demand(wanted, At(now)));
+            }
+            holders[i].ApplyGrants(grants, At(now), At(now));
+            if (now >= owner_from) holders[i].OwnerFound();
+          }
+          double requests = demand * kStep / static_cast<double>(holders.size());
+          while (requests > part(random)) {
+            requests -= 1;
+            if (holders[i].TryTake("a", At(now))) {
+              ++taken;
+            } else if (holders[i].TakeStanding("a", At(now))) {
+              ++taken;
+              ++standing;
+            }
+          }
+        }
+        used.push_back(taken);
+      }
+      const auto window = static_cast<size_t>(kWindow / kStep);
+      int sum = 0;
+      int most = 0;
+      for (size_t i = 0; i < used.size(); ++i) {
+        sum += used[i] - (i >= window ? used[i - window] : 0);
+        most = std::max(most, sum);
+      }
+      CHECK(most <= (rate * kWindow + rate) * 1.1 + 20);
+      CHECK(standing > 0);
+    }
+  }
+}
+
 // Guards against requests inside the rate that are refused while a lost leader is replaced, and
 // against an account that exceeds its rate meanwhile.
 TEST_CASE("a holder goes on for a short time when the owner is lost") {
