--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -357,4 +357,39 @@
   }
 }
 
+// Guards against traffic between data centres that saves less time than callers notice, and against
+// answers that are late because a faster target there was not used.
+TEST_CASE("the way to another data centre depends on the target latency") {
+  struct row {
+    absl::Duration target_latency;
+    double least_remote;
+    double most_remote;
+  };
+  // Parts of all calls; a fifth of them is repeated.
+  const row rows[] = {{absl::Milliseconds(1500), 0, 0.1},
+                      {absl::Milliseconds(100), 0.4, 0.8},
+                      {absl::InfiniteDuration(), 0, 0.1}};
+  for (const row& wanted : rows) {
+    CAPTURE(wanted.target_latency);
+    fake_service service(5, 1, 1);
+    int remote = 0;
+    const int calls = 2000;
+    for (int i = 0; i < calls; ++i) {
+      service.now += 100 * kMillisecond;
+      // Some calls are repeated elsewhere, so that the latency there is known.
+      const bool repeated = i % 5 == 0;
+      const std::vector<std::string> tried(repeated ? 1 : 0, "daemon-0");
+      const auto choice = service.subject.Choose("stock", request_priority::kHigh, 0, tried,
+                                                 service.now, wanted.target_latency);
+      REQUIRE(choice);
+      if (choice->other_data_centre && !repeated) ++remote;
+      service.subject.Started(choice->daemon_id, service.now);
+      const absl::Duration latency = (choice->other_data_centre ? 30 : 50) * kMillisecond;
+      service.subject.Finished(choice->daemon_id, kAnswered, latency, {}, service.now + latency);
+    }
+    CHECK(remote >= wanted.least_remote * calls);
+    CHECK(remote <= wanted.most_remote * calls);
+  }
+}
+
 }  // namespace teaseljunction
