--- a/src/daemon/tests/target_probe_test.cc
+++ b/src/daemon/tests/target_probe_test.cc
@@ -2,23 +2,12 @@
 
 #include <catch2/catch.hpp>
 
-#include "gateway/tests/mocks/fake_http_client.h"
-#include "gateway/tests/mocks/fake_ports.h"
-#include "gateway/tests/mocks/virtual_scheduler.h"
+#include "gateway/tests/mocks/executor_parts.h"
 
 namespace teaseljunction {
 namespace {
 
-struct probe_fixture {
-  virtual_scheduler time;
-  seeded_random_source random{3};
-  call_context_table contexts{random};
-  fake_http_client client;
-  quarantine_registry quarantine;
-  call_headers headers;
-  call_graph graph;
-  target_executor executor{executor_ports{time, time, contexts, client, quarantine, headers, graph},
-                           "d1", admission_controller_builder().Build()};
+struct probe_fixture : executor_parts {
   local_target_settings target{"127.0.0.1:1", "stock"};
   int found = 0;
   target_probe probe{probe_ports{time, time, client, executor, headers}, target,
--- /dev/null
+++ b/src/gateway/tests/mocks/executor_parts.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "gateway/target_executor.h"
+#include "gateway/tests/mocks/fake_http_client.h"
+#include "gateway/tests/mocks/fake_ports.h"
+#include "gateway/tests/mocks/virtual_scheduler.h"
+
+namespace teaseljunction {
+
+/// A target executor on fake ports and virtual time, without a target.
+struct executor_parts {
+  virtual_scheduler time;
+  seeded_random_source random{3};
+  call_context_table contexts{random};
+  fake_http_client client;
+  quarantine_registry quarantine;
+  call_headers headers;
+  call_graph graph;
+  target_executor executor{executor_ports{time, time, contexts, client, quarantine, headers, graph},
+                           "d1", admission_controller_builder().Build()};
+};
+
+}  // namespace teaseljunction
