--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -15,10 +15,10 @@
 // Interval of syncs while the allowance lasts, and the allowance in syncs.
 constexpr absl::Duration kQuickSyncInterval = absl::Milliseconds(5);
 constexpr int kQuickSyncs = 10;
-// A leader that does not answer for this long is counted as lost: several times the usual answer
-// time between data centres of a region, below the shortest election.
+// Another member is asked when there is no answer for this long, which is many times the usual
+// answer time between data centres of a region.
 constexpr absl::Duration kSyncTimeout = absl::Milliseconds(400);
-// Requests wait for tokens meanwhile, so the accounts learn earlier that the leader is silent.
+// Requests wait for tokens meanwhile, so the accounts go on without the leader after this time.
 constexpr absl::Duration kSilence = absl::Milliseconds(60);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(100);
 
--- a/src/gateway/account_limiter.h
+++ b/src/gateway/account_limiter.h
@@ -71,8 +71,9 @@
   static size_t ShardIndex(absl::string_view client_account);
   shard& ShardOf(absl::string_view client_account);
   void Expire(shard& owner, const std::string& client_account, uint64_t waiter_id);
-  // Ends the waits for which `take` yields a token, in order.
   using take_function = bool (share_holder::*)(absl::string_view, absl::Time);
+
+  // Ends the waits for which `take` yields a token, in order.
   static void TakeReady(shard& owner, absl::string_view account, take_function take, absl::Time now,
                         std::vector<finished_wait>& finished)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(owner.mutex);
