--- a/src/shares/tests/shares_test.cc
+++ b/src/shares/tests/shares_test.cc
@@ -13,6 +13,11 @@
 const account_rate kSingle = {"single", 2, 1};
 const account_rate kRare = {"rare", 0.1, 1};
 
+// Times in seconds of the test of lost owners.
+constexpr double kStep = 0.005;
+constexpr int kStepsPerSync = 20;
+constexpr double kWindow = 5;
+
 // Returns the seeds of a randomized test: five, or the one that was set to reproduce a failure.
 std::vector<uint64_t> Seeds() {
   const char* seed = std::getenv("TEASELJUNCTION_SEED");
@@ -51,9 +56,6 @@
 // holders find the next owner one after the other. The bound is that of the deployment: a tenth and
 // 20 requests beyond rate and burst in any five seconds.
 TEST_CASE("use stays within the tolerance while owners are lost") {
-  constexpr double kStep = 0.005;
-  constexpr int kStepsPerSync = 20;
-  constexpr double kWindow = 5;
   for (const uint64_t seed : Seeds()) {
     for (const double rate : {20.0, 300.0, 2000.0}) {
       INFO(Command(seed) << ", rate " << rate);
