--- a/src/common/internal/sockets.cc
+++ b/src/common/internal/sockets.cc
@@ -59,6 +59,8 @@
   return Fail(error_kind::kSettingInvalid, absl::StrCat("no \"IP:port\": ", address));
 }
 
+absl::string_view IpOf(absl::string_view address) { return address.substr(0, address.rfind(':')); }
+
 result<int> OpenListenSocket(const socket_address& address, bool reuse_port) {
   const int fd =
       socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
--- a/src/common/sockets.h
+++ b/src/common/sockets.h
@@ -21,6 +21,10 @@
 /// Parses "IPv4:port" or "[IPv6]:port". Names are not resolved. Errors: kSettingInvalid.
 result<socket_address> ParseSocketAddress(absl::string_view address);
 
+/// Returns the IP address of an "IP:port" text, which is not checked. The whole text when it has no
+/// colon. The result refers to `address`.
+absl::string_view IpOf(absl::string_view address);
+
 /// Opens a non-blocking listening TCP socket, to be closed by the caller. With `reuse_port` several
 /// sockets can listen on one port. Errors: kSettingInvalid.
 result<int> OpenListenSocket(const socket_address& address, bool reuse_port);
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -6,6 +6,7 @@
 
 #include "common/clock_source.h"
 #include "common/log.h"
+#include "common/sockets.h"
 #include "control/control_member.h"
 #include "daemon/leader_client.h"
 #include "daemon/leader_service.h"
@@ -166,7 +167,7 @@
                   metrics_, pending_, resolver_, graph_});
   target_endpoint_ = std::make_unique<target_endpoint>(*executor_);
   entry_ = std::make_unique<entry_service>(*entry_ports_, config_, contexts_, *target_endpoint_,
-                                           settings_.listen.substr(0, settings_.listen.rfind(':')));
+                                           std::string(IpOf(settings_.listen)));
 }
 
 daemon_process_impl::~daemon_process_impl() {
--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -29,7 +29,7 @@
   // Without SO_REUSEPORT this fails when another process has the port, which would otherwise share
   // its connections with this one.
   BOOST_LEAF_AUTO(probe, OpenListenSocket(address, false));
-  const std::string bound = absl::StrCat(text.substr(0, text.rfind(':')), ":", BoundPort(probe));
+  const std::string bound = absl::StrCat(IpOf(text), ":", BoundPort(probe));
   close(probe);
   BOOST_LEAF_AUTO(shared, ParseSocketAddress(bound));
   std::vector<int> sockets;
