Log each step of a planned shutdown with the calls that are still open

The log of a stop ended with "planned shutdown started" and "is complete", so it could not tell whether the daemon waited for its target, for callers or for its own servers, nor whether requests were accepted late in the stop. Each step now reports its time and the open calls, a server that closes its listener reports its connections and requests, and a server that stops with requests unanswered reports their number and when the first and the last of them were accepted. No logic is changed.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -86,6 +86,8 @@
   void WaitForStop();
   bool Drain();
   bool WaitUntilIdle(absl::Time deadline);
+  // Logs how far the planned shutdown has come and which calls it still waits for.
+  void LogDrainStep(absl::string_view step);
 
   const daemon_settings settings_;
   const resolver_settings resolver_;
@@ -122,6 +124,9 @@
   std::unique_ptr<http_server> operators_server_;
   std::vector<std::unique_ptr<http_server>> additional_servers_;
 
+  // Used only on the thread that calls `Run`.
+  absl::Time drain_started_at_;
+
   absl::Mutex stop_mutex_;
   bool stop_requested_ ABSL_GUARDED_BY(stop_mutex_) = false;
 };
@@ -286,12 +291,21 @@
 
 bool daemon_process_impl::Run() {
   WaitForStop();
-  LOG(INFO) << "daemon: planned shutdown started.";
+  drain_started_at_ = clock_.Now();
+  LogDrainStep("planned shutdown started");
   const bool finished = Drain();
-  LOG(INFO) << "daemon: planned shutdown is complete.";
+  LogDrainStep(finished ? "planned shutdown is complete" : "planned shutdown ran out of time");
   return finished;
 }
 
+void daemon_process_impl::LogDrainStep(absl::string_view step) {
+  const target_executor_status executor = executor_->Status();
+  LOG(INFO) << "daemon: " << step << " after "
+            << absl::ToInt64Milliseconds(clock_.Now() - drain_started_at_)
+            << " ms; target calls: " << executor.running << " running, " << executor.queued
+            << " queued; proposals: " << pending_work_.Count() << ".";
+}
+
 bool daemon_process_impl::WaitUntilIdle(absl::Time deadline) {
   while (clock_.Now() < deadline) {
     const target_executor_status executor = executor_->Status();
@@ -308,10 +322,14 @@
   absl::SleepFor(settings_.drain_delay);
   // The HTTP listener stays open until the target has no running call, because the target sends its
   // child calls to it.
+  LogDrainStep("drain delay is over");
   bool finished = WaitUntilIdle(deadline);
+  LogDrainStep(finished ? "target is idle" : "target is still busy");
   finished = entry_server_->Drain(deadline - clock_.Now()) && finished;
+  LogDrainStep("server for callers stopped");
   finished = pending_work_.WaitUntilIdle(deadline - clock_.Now()) && finished;
   finished = rpc_server_->Drain(deadline - clock_.Now()) && finished;
+  LogDrainStep("server for daemons stopped");
   operators_server_->Drain(kOperatorsDrainTimeout);
   return finished;
 }
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -319,6 +319,7 @@
 bool http_server::impl::RegisterRequest(server_request& request) {
   absl::MutexLock lock(&mutex_);
   if (stopping_) return false;
+  request.accepted_at = system_clock_source().Now();
   requests_.insert(request.shared_from_this());
   return true;
 }
@@ -338,6 +339,12 @@
   IgnoreNewConnections(listen_fd_);
   absl::SleepFor(std::min(kAcceptGrace, timeout));
   CloseListenSocket();
+  {
+    absl::MutexLock lock(&mutex_);
+    LOG(INFO) << "http: " << settings_.address << " accepts no more connections; "
+              << connections_.size() << " connections and " << requests_.size()
+              << " requests are open.";
+  }
   const absl::Time linger_end = system_clock_source().Now() + settings_.drain_linger;
   while (system_clock_source().Now() < deadline) {
     {
@@ -368,12 +375,25 @@
     open.assign(requests_.begin(), requests_.end());
   }
   draining_ = true;
+  if (!open.empty()) LogAbandoned(open);
   // libmicrohttpd aborts the process if a connection is still suspended when the daemon is stopped.
   for (const auto& request : open) {
     request->Respond(ProblemResponse({error_kind::kOutcomeUnknown, "the daemon stopped"}, ""));
   }
 }
 
+void http_server::impl::LogAbandoned(
+    absl::Span<const std::shared_ptr<server_request>> abandoned) const {
+  const auto [first, last] = std::minmax_element(
+      abandoned.begin(), abandoned.end(),
+      [](const auto& a, const auto& b) { return a->accepted_at < b->accepted_at; });
+  const absl::Time now = system_clock_source().Now();
+  LOG(WARNING) << "http: " << settings_.address << " stops with " << abandoned.size()
+               << " requests without a response, accepted between "
+               << absl::ToInt64Milliseconds(now - (*first)->accepted_at) << " ms and "
+               << absl::ToInt64Milliseconds(now - (*last)->accepted_at) << " ms ago.";
+}
+
 void http_server::impl::Stop() {
   if (daemon_ == nullptr) return;
   RunInServingContext([this] { AnswerPendingRequests(); });
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/types/optional.h"
+#include "absl/types/span.h"
 #include "common/log_limiter.h"
 #include "event_loop/event_loop.h"
 #include "http/http_server.h"
@@ -77,6 +78,7 @@
   /// Returns true if a connection has received bytes that have not been read yet.
   bool HasPendingInput();
   void CloseListenSocket();
+  void LogAbandoned(absl::Span<const std::shared_ptr<server_request>> abandoned) const;
   void LogLimited(absl::string_view line);
 
   const http_server_settings settings_;
--- a/src/http/internal/server_request.h
+++ b/src/http/internal/server_request.h
@@ -10,6 +10,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/functional/any_invocable.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "common/error_kind.h"
 #include "http/http_handler.h"
@@ -70,6 +71,8 @@
   bool head = false;
   /// True once the message was passed to the handler.
   bool dispatched = false;
+  /// Time at which the complete request was registered for the handler.
+  absl::Time accepted_at;
 
  private:
   enum class phase : uint8_t { kReceiving, kHandling, kSuspended, kResumed, kEnded };
