Refuse new calls of a stopping daemon once the drain delay is over

What callers saw: a request that was sent long after SIGTERM was accepted, ran at its target, and was given up by the stopping daemon with 502 outcome-unknown when the drain timeout ended (LOST).

Cause: after the drain delay nothing refused new work. Kept connections got no `Connection: close` before the listener was closed; from then on http_server's Drain went on reading requests from them, and ended only when at one moment no connection had a request, or at its deadline, at which it gave up what it had accepted last. Where callers keep using the host, that moment never comes. The same holds for the wait for the target: the executor accepted calls of other daemons, which prolonged it. The class of fault: a bounded wait for work to end, with no bound on the start of work.

Now the stop has three parts. Until the drain delay ends, calls are accepted, and each response closes its connection, so that callers move on. Then requests of callers and calls of other daemons are refused as not run, with a short Retry-After; only child calls of calls that still run at the target are accepted, with a deadline that lies before the end of the stop. At the end, calls that are still queued are refused as not run instead of being lost with their connection.

One check of planned_stop_test looked for the error's name in quotes; the problem document has it at the end of a URN. The check now matches that end.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -49,9 +49,10 @@
   /// Starts to sync with the control group. Must be called once, after all listeners were added.
   virtual void Start() = 0;
 
-  /// Serves until a stop is requested, then performs the planned shutdown: announces it, waits
-  /// until other daemons know of it, and finishes the running calls. Returns false when calls were
-  /// still running at the end of the drain timeout.
+  /// Serves until a stop is requested, then performs the planned shutdown: announces it, accepts
+  /// calls for the drain delay, until callers and other daemons know of it, then refuses new calls
+  /// and finishes the running ones. Returns false when calls were still running at the end of the
+  /// drain timeout.
   virtual bool Run() = 0;
 };
 
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -25,6 +25,9 @@
 
 constexpr absl::Duration kIdleCheckInterval = absl::Milliseconds(20);
 constexpr absl::Duration kOperatorsDrainTimeout = absl::Milliseconds(200);
+// Child calls that arrive after the drain delay end this long before the drain timeout, so that
+// their targets' responses can still be sent.
+constexpr absl::Duration kChildCallMargin = absl::Milliseconds(200);
 // Limit of connections for each listener added with `AddListener`.
 constexpr unsigned kMaxAdditionalListenerConnections = 256;
 
@@ -316,15 +319,21 @@
 }
 
 bool daemon_process_impl::Drain() {
-  const absl::Time deadline = clock_.Now() + settings_.drain_delay + settings_.drain_timeout;
+  const absl::Time accept_until = drain_started_at_ + settings_.drain_delay;
+  const absl::Time deadline = accept_until + settings_.drain_timeout;
   sync_->BeginDrain();
-  // Other daemons learn of the shutdown with their next sync. Until then, calls still arrive.
-  absl::SleepFor(settings_.drain_delay);
+  entry_server_->DisableKeepAlive();
+  // Callers and other daemons learn of the shutdown within the delay. Until then, they still send
+  // calls here.
+  absl::SleepFor(accept_until - clock_.Now());
+  entry_->StopAcceptingCallers(deadline - kChildCallMargin);
+  executor_->StopAccepting();
+  LogDrainStep("drain delay is over");
   // The HTTP listener stays open until the target has no running call, because the target sends its
   // child calls to it.
-  LogDrainStep("drain delay is over");
   bool finished = WaitUntilIdle(deadline);
   LogDrainStep(finished ? "target is idle" : "target is still busy");
+  if (!finished) executor_->RefuseQueuedCalls();
   finished = entry_server_->Drain(deadline - clock_.Now()) && finished;
   LogDrainStep("server for callers stopped");
   finished = pending_work_.WaitUntilIdle(deadline - clock_.Now()) && finished;
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -28,7 +28,7 @@
 ABSL_FLAG(absl::Duration, token_wait, absl::Milliseconds(300),
           "longest wait of a request for a token of its client account, 0s to 5s");
 ABSL_FLAG(absl::Duration, drain_delay, absl::Seconds(2),
-          "time between announcing a planned shutdown and closing the listeners, 0s to 60s");
+          "time between announcing a planned shutdown and refusing new calls, 0s to 60s");
 ABSL_FLAG(absl::Duration, drain_timeout, absl::Seconds(30),
           "longest wait for running calls at a planned shutdown, 1s to 600s");
 ABSL_FLAG(uint32_t, http_threads, 0,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -65,7 +65,7 @@
   rate_tolerance tolerance;
   /// Longest time that a request waits for a token of its client account.
   absl::Duration token_wait;
-  /// Time between the announcement of a planned shutdown and the closing of the listeners.
+  /// Time between the announcement of a planned shutdown and the refusal of new calls.
   absl::Duration drain_delay;
   /// Longest time that a planned shutdown waits for running calls.
   absl::Duration drain_timeout;
--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -60,7 +60,7 @@
     return absl::StrContains(absl::AsciiStrToLower(text), "connection: close");
   }
   bool IsDrainingRefusal() const {
-    return status == 503 && absl::StrContains(text, "\"draining\"") &&
+    return status == 503 && absl::StrContains(text, "error:draining\"") &&
            absl::StrContains(text, "Teaseljunction-Outcome: not-run");
   }
 };
--- a/src/gateway/entry_request_handler.h
+++ b/src/gateway/entry_request_handler.h
@@ -3,6 +3,10 @@
 #include <memory>
 #include <string>
 
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "gateway/active_manifest.h"
 #include "gateway/call_context.h"
 #include "gateway/entry_call.h"
@@ -23,7 +27,14 @@
 
   void Handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
+  /// Refuses all further requests of callers with kDraining. Child calls of the local target are
+  /// still accepted, because calls that are running depend on them; they end by
+  /// `child_call_deadline`.
+  void StopAcceptingCallers(absl::Time child_call_deadline);
+
  private:
+  // Refuses the call, or limits its deadline, once callers are no longer accepted.
+  result<void> ApplyDrain(resolved_call& resolved, absl::Time now);
   void HandleCall(const http_request& request, std::shared_ptr<http_exchange> exchange);
   std::string RequestIdFor(const http_request& request);
   uint64_t ManifestVersion() const;
@@ -34,6 +45,8 @@
   call_context_table& contexts_;
   target_announcement_handler& target_;
   const std::string host_ip_;
+  absl::Mutex mutex_;
+  absl::optional<absl::Time> child_call_deadline_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/internal/entry_request_handler.cc
+++ b/src/gateway/internal/entry_request_handler.cc
@@ -1,8 +1,10 @@
 #include "gateway/entry_request_handler.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/match.h"
+#include "balancer/retry_policy.h"
 #include "common/event_log.h"
 #include "http/problem.h"
 
@@ -11,6 +13,8 @@
 
 constexpr int kRequestIdBytes = 8;
 constexpr absl::string_view kLoopbackPrefix = "127.";
+// Estimated time until a caller can be served by another daemon.
+constexpr absl::Duration kDrainingRetryAfter = absl::Milliseconds(50);
 
 }  // namespace
 
@@ -45,6 +49,7 @@
   if (manifest == nullptr) return Fail(error_kind::kConfigurationStale);
   BOOST_LEAF_AUTO(resolved,
                   ResolveCall(*manifest, contexts_, deps_.settings, request, request_id, now));
+  BOOST_LEAF_CHECK(ApplyDrain(resolved, now));
   if (resolved.parent == nullptr) return resolved;
   const auto attempts = resolved.parent->TakeForChild();
   if (!attempts) return Fail(error_kind::kAttemptsExhausted);
@@ -53,6 +58,20 @@
   return resolved;
 }
 
+void entry_request_handler::StopAcceptingCallers(absl::Time child_call_deadline) {
+  absl::MutexLock lock(&mutex_);
+  child_call_deadline_ = child_call_deadline;
+}
+
+result<void> entry_request_handler::ApplyDrain(resolved_call& resolved, absl::Time now) {
+  absl::MutexLock lock(&mutex_);
+  if (!child_call_deadline_) return {};
+  if (resolved.request.depth == 0) return Fail(error_kind::kDraining);
+  resolved.deadline = std::min(resolved.deadline, *child_call_deadline_);
+  if (resolved.deadline <= now) return Fail(error_kind::kDraining);
+  return {};
+}
+
 std::string entry_request_handler::RequestIdFor(const http_request& request) {
   const call_header_names& headers = deps_.settings.headers;
   if (headers.caller_request_id) {
@@ -78,7 +97,12 @@
              {"path", request.path},
              {"config_version", ManifestVersion()}});
     deps_.metrics.RecordError(failure->kind);
-    http_response response = ProblemResponse(*failure, request_id);
+    absl::optional<absl::Duration> retry_after;
+    if (failure->kind == error_kind::kDraining) {
+      retry_after = RetryAfterDelay(kDrainingRetryAfter, deps_.random);
+    }
+    http_response response = ProblemResponse(*failure, request_id, retry_after,
+                                             deps_.settings.headers.fractional_retry_after);
     response.headers.push_back({deps_.settings.headers.request_id, request_id});
     exchange->Respond(std::move(response));
     return;
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -163,11 +163,32 @@
   ApplySlots(deps_.clock.Now());
 }
 
+void target_executor::StopAccepting() {
+  absl::MutexLock lock(&mutex_);
+  accepting_ = false;
+}
+
+void target_executor::RefuseQueuedCalls() {
+  deferred_work work;
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = deps_.clock.Now();
+    absl::erase_if(tasks_, [&](const auto& entry) {
+      // A call that is about to start has already left the queue.
+      const auto& [call_id, queued] = entry;
+      if (queued->started || !admission_.Cancel(call_id, now)) return false;
+      work.refusals.emplace_back(queued, error_kind::kDraining);
+      return true;
+    });
+  }
+  RunDeferred(std::move(work));
+}
+
 // Returns the reason for which a call is refused, or kInternal when it can be accepted.
 error_kind target_executor::RefusalReasonFor(const call& request, absl::Time now) {
   const auto target = lease_.Current(now);
   if (!target || target->service != request.service) return error_kind::kTargetUnreachable;
-  if (now - lease_.DrainingSince() > kDrainGracePeriod) return error_kind::kDraining;
+  if (!accepting_ || now - lease_.DrainingSince() > kDrainGracePeriod) return error_kind::kDraining;
   if (deps_.quarantine.Contains(request.fingerprint)) return error_kind::kQuarantined;
   return error_kind::kInternal;
 }
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -67,6 +67,12 @@
   /// Returns false when the target is not accepted.
   bool AcceptProbedTarget(const target_announcement& probed);
 
+  /// Refuses all further calls with kDraining. Running and queued calls continue.
+  void StopAccepting();
+
+  /// Refuses the queued calls with kDraining. Running calls continue.
+  void RefuseQueuedCalls();
+
   /// Runs a call and invokes `done` exactly once, possibly before this function returns. The
   /// returned handle cancels the call.
   std::shared_ptr<call_execution> Execute(call request, completion done);
@@ -146,6 +152,7 @@
   absl::flat_hash_map<uint64_t, std::shared_ptr<task>> tasks_ ABSL_GUARDED_BY(mutex_);
   uint64_t next_call_id_ ABSL_GUARDED_BY(mutex_) = 0;
   uint64_t response_count_ ABSL_GUARDED_BY(mutex_) = 0;
+  bool accepting_ ABSL_GUARDED_BY(mutex_) = true;
   uint32_t max_concurrency_ ABSL_GUARDED_BY(mutex_) = 0;
   uint32_t applied_slots_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time scheduled_poll_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -136,4 +136,33 @@
   CHECK(fixture.executor.Status().running == 0);
 }
 
+// Guards against calls that a stopping daemon accepts so late that it gives them up.
+TEST_CASE("a daemon that stops accepting refuses new calls and finishes the running ones") {
+  executor_fixture fixture;
+  fixture.Send("running");
+  fixture.executor.StopAccepting();
+  fixture.Send("late");
+  CHECK(fixture.LastFailure() == error_kind::kDraining);
+  CHECK(fixture.client.last_id == 1);
+  fixture.client.End(1, http_response{200, {}, "ok"});
+  CHECK(std::holds_alternative<call_answer>(fixture.results.back().answer));
+  CHECK(fixture.executor.Status().running == 0);
+}
+
+// Guards against "may have run" for calls that were still queued when their daemon stopped.
+TEST_CASE("queued calls of a stopping daemon end as not run") {
+  executor_fixture fixture;
+  for (int i = 0; i < 10; ++i) fixture.Send("f");
+  const target_executor_status busy = fixture.executor.Status();
+  REQUIRE(busy.running > 0);
+  REQUIRE(busy.queued > 0);
+  REQUIRE(fixture.results.empty());
+  fixture.executor.RefuseQueuedCalls();
+  CHECK(fixture.results.size() == busy.queued);
+  CHECK(fixture.LastFailure() == error_kind::kDraining);
+  CHECK(fixture.executor.Status().queued == 0);
+  CHECK(fixture.executor.Status().running == busy.running);
+  CHECK(fixture.client.last_id == busy.running);
+}
+
 }  // namespace teaseljunction
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -49,6 +49,9 @@
   /// kInternal.
   result<uint16_t> Start();
 
+  /// Adds `Connection: close` to all further responses, so that clients move to other servers.
+  void DisableKeepAlive();
+
   /// Stops gracefully: accepts no new connections, answers every request that is running or arrives
   /// on an open connection, and then closes the connection. Blocks for at most about `timeout`.
   /// Returns true if no request was left, false if requests were still running after `timeout`. The
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -289,7 +289,7 @@
     if (IsTransferHeader(header.name)) continue;
     MHD_add_response_header(created, header.name.c_str(), header.value.c_str());
   }
-  if (draining_) MHD_add_response_header(created, MHD_HTTP_HEADER_CONNECTION, "close");
+  if (!keep_alive_) MHD_add_response_header(created, MHD_HTTP_HEADER_CONNECTION, "close");
   const MHD_Result queued =
       MHD_queue_response(connection, static_cast<unsigned>(response.status), created);
   MHD_destroy_response(created);
@@ -335,7 +335,7 @@
 bool http_server::impl::Drain(absl::Duration timeout) {
   if (daemon_ == nullptr) return true;
   const absl::Time deadline = system_clock_source().Now() + timeout;
-  draining_ = true;
+  keep_alive_ = false;
   IgnoreNewConnections(listen_fd_);
   absl::SleepFor(std::min(kAcceptGrace, timeout));
   CloseListenSocket();
@@ -374,7 +374,7 @@
     stopping_ = true;
     open.assign(requests_.begin(), requests_.end());
   }
-  draining_ = true;
+  keep_alive_ = false;
   if (!open.empty()) LogAbandoned(open);
   // libmicrohttpd aborts the process if a connection is still suspended when the daemon is stopped.
   for (const auto& request : open) {
@@ -425,6 +425,7 @@
 http_server::~http_server() { impl_->Stop(); }
 result<uint16_t> http_server::Start() { return impl_->Start(); }
 bool http_server::Drain(absl::Duration timeout) { return impl_->Drain(timeout); }
+void http_server::DisableKeepAlive() { impl_->DisableKeepAlive(); }
 void http_server::Stop() { impl_->Stop(); }
 
 }  // namespace teaseljunction
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -39,6 +39,7 @@
   impl(http_server_settings settings, http_handler* handler);
 
   result<uint16_t> Start();
+  void DisableKeepAlive() { keep_alive_ = false; }
   bool Drain(absl::Duration timeout);
   void Stop();
 
@@ -94,7 +95,7 @@
   uint64_t idle_check_timer_ = 0;
   // False once the server has stopped; checked by tasks that are still queued on the loop.
   std::shared_ptr<bool> serving_ = std::make_shared<bool>(false);
-  std::atomic<bool> draining_ = false;
+  std::atomic<bool> keep_alive_ = true;
   std::atomic<uint64_t> next_id_ = 0;
   // Number of connections with a request, from its request line to the end of its response.
   std::atomic<int64_t> active_connections_ = 0;
