Free the slot of a call that is cancelled between admission and start

Callers saw stops that ran to the drain timeout although nothing was at work. When a running call ends, the next queued call is admitted under the lock and started after the result of the first one has been delivered. A cancellation in between found the call neither in the queue of the admission controller nor started: it was removed without Finish, and the call counted as in flight until the target was replaced. A planned stop waits for that count, and every such call lowered the usable concurrency by one.

Cancel now calls Finish when the call is not in the queue any more. Finish ignores ids that are not in flight, so a call that was never admitted is unaffected.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -379,7 +379,11 @@
     if (cancelled->started) {
       http_id = cancelled->http_id;
     } else {
-      admission_.Cancel(call_id, deps_.clock.Now());
+      const absl::Time now = deps_.clock.Now();
+      // A call that was admitted but not started has left the queue and occupies a slot.
+      if (!admission_.Cancel(call_id, now)) {
+        admission_.Finish(call_id, target_result::kCancelled, absl::ZeroDuration(), now);
+      }
       tasks_.erase(found);
       PollAdmission(work);
     }
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/target_executor.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 
 #include "gateway/tests/mocks/target_executor_environment.h"
 
@@ -9,6 +10,8 @@
 
 struct executor_fixture : target_executor_environment {
   std::vector<execute_result> results;
+  /// Runs after a result has been recorded.
+  std::function<void()> after_result;
 
   explicit executor_fixture(bool announced = true) {
     if (announced) Announce(1);
@@ -24,8 +27,10 @@
     request.service = service;
     request.fingerprint = fingerprint;
     request.time_left = absl::Seconds(5);
-    return executor.Execute(
-        request, [this](execute_result executed) { results.push_back(std::move(executed)); });
+    return executor.Execute(request, [this](execute_result executed) {
+      results.push_back(std::move(executed));
+      if (after_result) after_result();
+    });
   }
 
   error_kind LastFailure() const { return std::get<error>(results.back().answer).kind; }
@@ -136,4 +141,26 @@
   CHECK(fixture.executor.Status().running == 0);
 }
 
+// Guards against a planned stop that waits until its deadline for a call that never ran.
+TEST_CASE("a call that is cancelled between admission and start does not stay in flight") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  const auto queued = fixture.Send("queued");
+  REQUIRE(fixture.executor.Status().queued == 1);
+  // The end of the first call admits the second one, which starts after the result was delivered.
+  fixture.after_result = [&] {
+    fixture.after_result = nullptr;
+    queued->Cancel();
+  };
+  fixture.client.End(1, http_response{200, {}, ""});
+  REQUIRE(fixture.results.size() == 2);
+  CHECK(fixture.LastFailure() == error_kind::kCancelled);
+  CHECK(fixture.client.last_id == 1);
+  CHECK(fixture.executor.Status().running == 0);
+  CHECK(fixture.executor.Status().queued == 0);
+  fixture.Send("next");
+  CHECK(fixture.client.last_id == 2);
+}
+
 }  // namespace teaseljunction
