Refuse queued calls as soon as their target withdraws or its lease expires

Callers saw requests that waited in the queue of a daemon whose target had left, and a planned stop waited for them. HandleWithdrawal ended the lease but kept the slots and the queue: queued calls stayed until their deadline or until a running call ended, and were then started without a target. Their refusal by the admission controller (kNoTarget) was also final, while a call that arrives after the target has left gets kTargetUnreachable, which the entry daemon retries elsewhere.

PollAdmission now applies the current slots first, so no decision is made for a target that has left, and HandleWithdrawal polls. kNoTarget of a queued call is reported as kTargetUnreachable.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -106,7 +106,6 @@
                 << announced.address << " joined with incarnation " << announced.incarnation << ".";
       admission_.ResetForColdTarget(now);
     }
-    ApplySlots(now);
     PollAdmission(work);
   }
   RunDeferred(std::move(work));
@@ -125,22 +124,26 @@
 }
 
 void target_executor::HandleWithdrawal(uint64_t incarnation) {
-  absl::MutexLock lock(&mutex_);
-  const absl::Time now = deps_.clock.Now();
-  const auto target = lease_.Current(now);
-  if (!target || target->incarnation != incarnation) {
-    // A probe response that is still in transit must not bring back a target that has withdrawn.
-    lease_.Withdraw(incarnation);
-    return;
-  }
-  LOG(INFO) << "membership: target " << target->target_id << " of service " << target->service
-            << (target->draining ? " has withdrawn."
-                                 : " withdrew without draining and is now draining.");
-  if (!target->draining) {
-    lease_.Drain(incarnation, now);
-    return;
+  deferred_work work;
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = deps_.clock.Now();
+    const auto target = lease_.Current(now);
+    if (target && target->incarnation == incarnation) {
+      LOG(INFO) << "membership: target " << target->target_id << " of service " << target->service
+                << (target->draining ? " has withdrawn."
+                                     : " withdrew without draining and is now draining.");
+    }
+    if (target && target->incarnation == incarnation && !target->draining) {
+      lease_.Drain(incarnation, now);
+    } else {
+      // Also for a target that is not the current one: a probe response that is still in transit
+      // must not bring it back.
+      lease_.Withdraw(incarnation);
+    }
+    PollAdmission(work);
   }
-  lease_.Withdraw(incarnation);
+  RunDeferred(std::move(work));
 }
 
 void target_executor::SetSuspects(absl::Span<const std::string> fingerprints) {
@@ -216,12 +219,18 @@
     work.starts.push_back(decision.call_id);
     return;
   }
-  work.refusals.emplace_back(found->second, decision.reason);
+  // A call whose target leaves while it is queued can run at another target, like one that arrives
+  // after the target has left.
+  const error_kind reason =
+      decision.reason == error_kind::kNoTarget ? error_kind::kTargetUnreachable : decision.reason;
+  work.refusals.emplace_back(found->second, reason);
   tasks_.erase(found);
 }
 
 void target_executor::PollAdmission(deferred_work& work) {
-  for (const admission_decision& decision : admission_.Poll(deps_.clock.Now())) {
+  const absl::Time now = deps_.clock.Now();
+  ApplySlots(now);
+  for (const admission_decision& decision : admission_.Poll(now)) {
     ApplyDecision(decision, work);
   }
   SchedulePoll();
@@ -236,7 +245,6 @@
     {
       absl::MutexLock lock(&mutex_);
       scheduled_poll_at_ = absl::InfiniteFuture();
-      ApplySlots(deps_.clock.Now());
       PollAdmission(work);
     }
     RunDeferred(std::move(work));
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -163,4 +163,22 @@
   CHECK(fixture.client.last_id == 2);
 }
 
+// Guards against queued calls that wait for a free slot of a target that has left.
+TEST_CASE("queued calls are refused as not run when the target withdraws") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  fixture.Send("queued");
+  REQUIRE(fixture.executor.Status().queued == 1);
+  fixture.executor.HandleWithdrawal(1);
+  CHECK(fixture.executor.Status().queued == 1);
+  fixture.executor.HandleWithdrawal(1);
+  CHECK(fixture.executor.Status().queued == 0);
+  REQUIRE(fixture.results.size() == 1);
+  CHECK(fixture.LastFailure() == error_kind::kTargetUnreachable);
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.results.back().answer.index() == 0);
+  CHECK(fixture.executor.TakeCrashReports().empty());
+}
+
 }  // namespace teaseljunction
