Refuse a call that finds no target at its start without declaring the target lost

Callers of calls that were at work saw their requests counted as crashes of their target. A call that was admitted just before its target withdrew, or before the lease expired, was ended as if the connection to the target had been refused. OnResponse takes that as the loss of the process: all other calls in flight became crash reports, although they went on at the living target and were answered. Requests with enough of these reports are quarantined.

StartCall now gives the slot back and refuses the call as kTargetUnreachable (not run, retried elsewhere). Only a connection that the target refuses still counts as the loss of its process.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -269,21 +269,30 @@
 void target_executor::StartCall(uint64_t call_id) {
   std::shared_ptr<task> started;
   absl::optional<target_announcement> target;
+  deferred_work work;
   {
     absl::MutexLock lock(&mutex_);
     const auto found = tasks_.find(call_id);
     if (found == tasks_.end()) return;
     started = found->second;
     const absl::Time now = deps_.clock.Now();
-    started->started = true;
-    started->started_at = now;
     target = lease_.Current(now);
-    suspects_.OnStarted(started->request.fingerprint, now);
+    if (target) {
+      started->started = true;
+      started->started_at = now;
+      suspects_.OnStarted(started->request.fingerprint, now);
+    } else {
+      // The end of a lease says nothing about the calls that run, so this is not a target loss.
+      admission_.Finish(call_id, target_result::kCancelled, absl::ZeroDuration(), now);
+      tasks_.erase(found);
+      work.refusals.emplace_back(started, error_kind::kTargetUnreachable);
+      PollAdmission(work);
+    }
   }
+  if (!target) return RunDeferred(std::move(work));
   deps_.graph.RecordExecution(started->request.route, started->started_at);
   started->running = std::make_shared<running_call>(started->request, started->deadline);
   started->token = deps_.contexts.Add(started->running);
-  if (!target) return OnResponse(call_id, error{error_kind::kTargetUnreachable, "no target"});
   if (WantsCallLog(call_event::kStarted, started->request.request_id)) {
     LogCall(call_event::kStarted, started->request.request_id,
             {{"target", target->target_id},
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -163,6 +163,46 @@
   CHECK(fixture.client.last_id == 2);
 }
 
+// Guards against reporting the calls at a target that still runs as its crash, because another call
+// was started after the target had withdrawn or its lease had expired.
+TEST_CASE("a call that finds no target at its start is refused and nothing is reported as lost") {
+  struct departure_case {
+    const char* description;
+    void (*depart)(executor_fixture&);
+  };
+  const std::vector<departure_case> cases = {
+      {"withdrawal",
+       [](executor_fixture& f) {
+         f.executor.HandleWithdrawal(1);
+         f.executor.HandleWithdrawal(1);
+       }},
+      {"expired lease", [](executor_fixture& f) { f.time.AdvanceBy(absl::Seconds(3)); }},
+  };
+  for (const departure_case& row : cases) {
+    INFO(row.description);
+    executor_fixture fixture;
+    fixture.executor.SetMaxConcurrency(2);
+    fixture.Send("long");
+    fixture.Send("short");
+    fixture.Send("queued");
+    REQUIRE(fixture.executor.Status().queued == 1);
+    // The end of the second call admits the third one, which starts after the result was delivered.
+    fixture.after_result = [&] {
+      fixture.after_result = nullptr;
+      row.depart(fixture);
+    };
+    fixture.client.End(2, http_response{200, {}, ""});
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(AnswerFor(fixture.LastFailure()).run == run_state::kNotRun);
+    CHECK(fixture.client.last_id == 2);
+    CHECK(fixture.executor.TakeCrashReports().empty());
+    CHECK(fixture.executor.Status().running == 1);
+    fixture.client.End(1, http_response{200, {}, ""});
+    CHECK(fixture.results.back().answer.index() == 0);
+    CHECK(fixture.executor.Status().running == 0);
+  }
+}
+
 // Guards against queued calls that wait for a free slot of a target that has left.
 TEST_CASE("queued calls are refused as not run when the target withdraws") {
   executor_fixture fixture;
