Undo the registration of an RPC call whose start fails

A daemon whose service threw an exception while it started a call (for example out of memory) never became idle again: the call was counted as running and stored, and neither was undone. Every later drain of the server waited until its timeout and reported that calls were still running.

The count and the stored call now belong to one object that is attached to the promise of the call and that is also destroyed when start throws.

--- a/src/rpc/internal/node_impl.h
+++ b/src/rpc/internal/node_impl.h
@@ -52,13 +52,10 @@
     call->fulfiller = kj::mv(pair.fulfiller);
     call->deliver = std::move(deliver);
     calls_[id] = std::move(call);
-    ++call_counts_.running;
-    ++call_counts_.started;
-    std::shared_ptr<call_execution> running = start(MakeCompletion<Result>(id));
-    return pair.promise.attach(kj::defer([this, id, running = std::move(running)] {
-      --call_counts_.running;
-      if (calls_.erase(id) > 0 && running != nullptr) running->Cancel();
-    }));
+    // Also undoes the registration when `start` throws.
+    auto registered = kj::heap<registration>(*this, id);
+    registered->execution = start(MakeCompletion<Result>(id));
+    return pair.promise.attach(kj::mv(registered));
   }
 
  private:
@@ -71,6 +68,24 @@
     absl::AnyInvocable<void(Result)> deliver;
   };
 
+  /// Counts a call as running until it is destroyed. Cancels the execution of a call that has not
+  /// been completed by then.
+  struct registration {
+    registration(incoming_calls& calls, uint64_t call_id) : owner(calls), id(call_id) {
+      ++owner.call_counts_.running;
+      ++owner.call_counts_.started;
+    }
+    ~registration() noexcept(false) {
+      --owner.call_counts_.running;
+      if (owner.calls_.erase(id) > 0 && execution != nullptr) execution->Cancel();
+    }
+    KJ_DISALLOW_COPY(registration);
+
+    incoming_calls& owner;
+    const uint64_t id;
+    std::shared_ptr<call_execution> execution;
+  };
+
   template <class Result>
   absl::AnyInvocable<void(Result)> MakeCompletion(uint64_t id) {
     return [this, executor = executor_, id](Result result) {
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <future>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -36,10 +37,11 @@
 };
 
 /// Answers a call with its own body from another thread. A call with the path "/keep" is held: its
-/// completion is stored for the test.
+/// completion is stored for the test. A call with the path "/throw" throws.
 class fake_service : public node_service {
  public:
   std::shared_ptr<call_execution> Execute(call request, execute_completion completion) override {
+    if (request.path == "/throw") throw std::runtime_error("no memory");
     if (request.path == "/keep") {
       absl::MutexLock lock(&mutex);
       held_completions.push_back(std::move(completion));
@@ -378,6 +380,14 @@
   CHECK(running.service.cancelled == 0);
 }
 
+// Guards against a drain that waits until its timeout for a call that was never started.
+TEST_CASE("drain does not wait for a call whose start failed") {
+  running_server running;
+  const auto client = MakeClient();
+  CHECK(KindOf(Execute(*client, running.address, "/throw")) == error_kind::kPeerLost);
+  CHECK(running.server->Drain(kLongTimeout));
+}
+
 // Guards against connections to former addresses that stay open forever.
 TEST_CASE("an idle connection is closed") {
   absl::Notification closed;
