Don't destroy a test callback while it runs

The new cases of target_executor_test reset the std::function from within itself and then used its captures. The fixture now takes the callback out before it runs it. gateway_test passes.

--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <functional>
+#include <utility>
 
 #include "gateway/tests/mocks/target_executor_environment.h"
 
@@ -10,7 +11,7 @@
 
 struct executor_fixture : target_executor_environment {
   std::vector<execute_result> results;
-  /// Runs after a result has been recorded.
+  /// Runs once, after a result has been recorded.
   std::function<void()> after_result;
 
   explicit executor_fixture(bool announced = true) {
@@ -29,7 +30,7 @@
     request.time_left = absl::Seconds(5);
     return executor.Execute(request, [this](execute_result executed) {
       results.push_back(std::move(executed));
-      if (after_result) after_result();
+      if (after_result) std::exchange(after_result, nullptr)();
     });
   }
 
@@ -149,10 +150,7 @@
   const auto queued = fixture.Send("queued");
   REQUIRE(fixture.executor.Status().queued == 1);
   // The end of the first call admits the second one, which starts after the result was delivered.
-  fixture.after_result = [&] {
-    fixture.after_result = nullptr;
-    queued->Cancel();
-  };
+  fixture.after_result = [&] { queued->Cancel(); };
   fixture.client.End(1, http_response{200, {}, ""});
   REQUIRE(fixture.results.size() == 2);
   CHECK(fixture.LastFailure() == error_kind::kCancelled);
@@ -187,10 +185,7 @@
     fixture.Send("queued");
     REQUIRE(fixture.executor.Status().queued == 1);
     // The end of the second call admits the third one, which starts after the result was delivered.
-    fixture.after_result = [&] {
-      fixture.after_result = nullptr;
-      row.depart(fixture);
-    };
+    fixture.after_result = [&] { row.depart(fixture); };
     fixture.client.End(2, http_response{200, {}, ""});
     REQUIRE(fixture.results.size() == 2);
     CHECK(AnswerFor(fixture.LastFailure()).run == run_state::kNotRun);
