Cancel the current attempt when an earlier one ended before its id was stored

Work went on for callers that had gone. An attempt can fail and its retry can be sent on another thread before peer_client::Execute has returned the id of the first attempt. The older id then replaced the newer one, and a disconnect cancelled the finished attempt while the current one kept a target at work and a stop waiting. The disconnect also read the number of attempts without a lock while another thread may have written it.

An id is stored only while its attempt is the latest one. The attempt number is atomic.

--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -79,7 +80,8 @@
   const std::string attempt_id_;
   attempt_budget budget_;
   std::vector<std::string> attempted_daemon_ids_;
-  uint32_t attempt_count_ = 0;
+  // Also read when the caller disconnects, on another thread.
+  std::atomic<uint32_t> attempt_count_ = 0;
   uint32_t crash_count_ = 0;
   bool claim_held_ = false;
   // True once an attempt has ended in a way that does not rule out that the target ran the request.
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -144,13 +144,14 @@
   call request = resolved_.request;
   request.time_left = resolved_.deadline - now;
   request.attempt_budget = attempt_budget_for_target;
-  const call_event event = attempt_count_ > 1 ? call_event::kResent : call_event::kSent;
+  const uint32_t attempt = attempt_count_;
+  const call_event event = attempt > 1 ? call_event::kResent : call_event::kSent;
   if (WantsCallLog(event, request.request_id)) {
     LogCall(event, request.request_id,
             {{"account", request.client_account},
              {"service", request.service},
              {"to", target.daemon_id},
-             {"attempt", attempt_count_},
+             {"attempt", attempt},
              {"depth", request.depth},
              {"left_ms", request.time_left}});
   }
@@ -165,7 +166,8 @@
   bool cancel = false;
   {
     absl::MutexLock lock(&mutex_);
-    execute_id_ = id;
+    // The attempt may have failed and the next one may have been sent before `Execute` returned.
+    if (attempt_count_ == attempt) execute_id_ = id;
     cancel = caller_disconnected_ && !claim_held_;
   }
   // The caller may have disconnected while the attempt was being sent. Ids of finished attempts are
@@ -233,7 +235,7 @@
   }
   LogCall(call_event::kCallerDisconnected, resolved_.request.request_id,
           {{"service", resolved_.request.service},
-           {"attempts", attempt_count_},
+           {"attempts", attempt_count_.load()},
            {"held_ms", deps_.clock.Now() - started_at_}});
   if (attempt_to_cancel) deps_.peers.CancelExecute(*attempt_to_cancel);
 }
@@ -248,7 +250,7 @@
   if (WantsCallLog(call_event::kAnswered, resolved_.request.request_id)) {
     LogCall(call_event::kAnswered, resolved_.request.request_id,
             {{"status", answer.status},
-             {"attempts", attempt_count_},
+             {"attempts", attempt_count_.load()},
              {"held_ms", deps_.clock.Now() - started_at_},
              {"target_ms", last_service_time_}});
   }
@@ -273,7 +275,7 @@
            {"account", resolved_.request.client_account},
            {"service", resolved_.request.service},
            {"priority", PriorityName(resolved_.request.priority)},
-           {"attempts", attempt_count_},
+           {"attempts", attempt_count_.load()},
            {"held_ms", deps_.clock.Now() - started_at_}});
   deps_.metrics.RecordError(reported.kind);
   Finish(ProblemResponse(reported, resolved_.request.request_id,
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -186,6 +186,25 @@
   CHECK(fixture.Order("k2")->last.body == "order 18");
 }
 
+// Guards against a disconnect that cancels a finished attempt while the current one goes on,
+// because the earlier attempt had ended before its id was stored.
+TEST_CASE("a disconnect cancels the current attempt when an earlier one failed at once") {
+  entry_fixture fixture;
+  fixture.peers.after_execute = [&] {
+    execute_result failed;
+    failed.answer = error{error_kind::kPeerUnreachable, ""};
+    failed.unused_attempts = fixture.peers.attempts[0].request.attempt_budget;
+    fixture.peers.attempts[0].done(std::move(failed));
+    // The retry is sent before the first `Execute` has returned, as on another thread.
+    fixture.time.AdvanceBy(absl::Seconds(1));
+  };
+  const auto lookup = fixture.Send({"GET", "/stock/1", {}, ""});
+  REQUIRE(fixture.peers.attempts.size() == 2);
+  CHECK(lookup->responses == 0);
+  lookup->disconnect();
+  CHECK(fixture.peers.attempts[1].cancelled);
+}
+
 // Guards against requests beyond the tokens of the account, and against waiting indefinitely.
 TEST_CASE("a request without a token waits and is then refused as not run") {
   entry_fixture fixture;
--- a/src/gateway/tests/mocks/fake_dependencies.h
+++ b/src/gateway/tests/mocks/fake_dependencies.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -43,7 +44,9 @@
   uint64_t Execute(absl::string_view address, call request, absl::Duration,
                    absl::AnyInvocable<void(execute_result)> completion) override {
     attempts.push_back({std::string(address), std::move(request), std::move(completion)});
-    return attempts.size();
+    const uint64_t id = attempts.size();
+    if (after_execute) std::exchange(after_execute, nullptr)();
+    return id;
   }
   void CancelExecute(uint64_t id) override { attempts[id - 1].cancelled = true; }
   void Sync(absl::string_view, sync_request, absl::Duration,
@@ -72,6 +75,8 @@
   }
 
   std::deque<attempt> attempts;
+  /// Runs once, before `Execute` returns.
+  std::function<void()> after_execute;
 };
 
 /// Control group with one table of claims. It never fails unless `available` is false.
