Return the attempts of a call that was not sent

Callers got 503 "attempts-exhausted" for a request whose first daemon could not be reached (for example one that has just stopped), although other daemons had room. An attempt hands all remaining attempts of the request to the called daemon, and the client reported none of them as unused when the call had never left this daemon. So no request was retried after kPeerUnreachable.

kPeerUnreachable means that the call was certainly not sent, so its whole budget is unused. After a lost connection the budget stays lost, because the call may have used it.

--- a/src/rpc/internal/rpc_peer_client.cc
+++ b/src/rpc/internal/rpc_peer_client.cc
@@ -45,15 +45,18 @@
 
 uint64_t rpc_peer_client::Execute(absl::string_view address, call request, absl::Duration timeout,
                                   absl::AnyInvocable<void(execute_result)> completion) {
+  const uint32_t attempt_budget = request.attempt_budget;
   return StartCall<execute_method>(
       address, timeout, std::move(request),
-      [completion = std::move(completion)](outcome<execute_result> result) mutable {
+      [attempt_budget, completion = std::move(completion)](outcome<execute_result> result) mutable {
         if (auto* value = std::get_if<0>(&result)) {
           completion(std::move(*value));
           return;
         }
         execute_result failed;
         failed.answer = std::get<1>(std::move(result));
+        const bool sent = std::get<error>(failed.answer).kind != error_kind::kPeerUnreachable;
+        failed.unused_attempts = sent ? 0 : attempt_budget;
         completion(std::move(failed));
       });
 }
--- a/src/rpc/peer_client.h
+++ b/src/rpc/peer_client.h
@@ -19,7 +19,8 @@
 
   /// Runs a call at the local target of the daemon at `address`. Returns an id for `CancelExecute`.
   /// Errors: kPeerUnreachable when the call was definitely not sent, kPeerLost when the connection
-  /// was lost after sending, kDeadlineExceeded when the timeout expired after sending.
+  /// was lost after sending, kDeadlineExceeded when the timeout expired after sending. With
+  /// kPeerUnreachable the whole attempt budget is reported as unused.
   virtual uint64_t Execute(absl::string_view address, call request, absl::Duration timeout,
                            absl::AnyInvocable<void(execute_result)> completion) = 0;
 
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -326,6 +326,24 @@
   FAIL("no connection to the restarted peer");
 }
 
+// Guards against a call that is not retried elsewhere because the attempts that it gave to an
+// unreachable daemon were lost.
+TEST_CASE("a call that was not sent returns its attempts") {
+  const auto client = MakeClient();
+  for (const char* address : {"nowhere", "127.0.0.1:1"}) {
+    INFO(address);
+    std::promise<execute_result> ended;
+    call request;
+    request.time_left = kLongTimeout;
+    request.attempt_budget = 7;
+    client->Execute(address, std::move(request), kLongTimeout,
+                    [&](execute_result result) { ended.set_value(std::move(result)); });
+    const execute_result result = ended.get_future().get();
+    CHECK(KindOf(result) == error_kind::kPeerUnreachable);
+    CHECK(result.unused_attempts == 7);
+  }
+}
+
 // Guards against work that continues for a caller that has disconnected or cancelled.
 TEST_CASE("cancelled, expired and abandoned calls are cancelled at the server") {
   running_server running;
