--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -106,7 +106,6 @@
                 << announced.address << " joined with incarnation " << announced.incarnation << ".";
       admission_.ResetForColdTarget(now);
     }
-    ApplySlots(now);
     PollAdmission(work);
   }
   RunDeferred(std::move(work));
@@ -125,22 +124,26 @@
 }
 
 void target_executor::HandleWithdrawal(uint64_t incarnation) {
-  absl::MutexLock lock(&mutex_);
-  const absl::Time now = deps_.clock.Now();
-  const auto target = lease_.Current(now);
-  if (!target || target->incarnation != incarnation) {
-    // A probe response that is still in transit must not bring back a target that has withdrawn.
-    lease_.Withdraw(incarnation);
-    return;
-  }
-  LOG(INFO) << "membership: target " << target->target_id << " of service " << target->service
-            << (target->draining ? " has withdrawn."
-                                 : " withdrew without draining and is now draining.");
-  if (!target->draining) {
-    lease_.Drain(incarnation, now);
-    return;
+  deferred_work work;
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = deps_.clock.Now();
+    const auto target = lease_.Current(now);
+    if (target && target->incarnation == incarnation) {
+      LOG(INFO) << "membership: target " << target->target_id << " of service " << target->service
+                << (target->draining ? " has withdrawn."
+                                     : " withdrew without draining and is now draining.");
+    }
+    if (target && target->incarnation == incarnation && !target->draining) {
+      lease_.Drain(incarnation, now);
+    } else {
+      // Also for a target that is not the current one: a probe response that is still in transit
+      // must not bring it back.
+      lease_.Withdraw(incarnation);
+    }
+    PollAdmission(work);
   }
-  lease_.Withdraw(incarnation);
+  RunDeferred(std::move(work));
 }
 
 void target_executor::SetSuspects(absl::Span<const std::string> fingerprints) {
@@ -237,12 +240,18 @@
     work.starts.push_back(decision.call_id);
     return;
   }
-  work.refusals.emplace_back(found->second, decision.reason);
+  // A call whose target leaves while it is queued can run at another target, like one that arrives
+  // after the target has left.
+  const error_kind reason =
+      decision.reason == error_kind::kNoTarget ? error_kind::kTargetUnreachable : decision.reason;
+  work.refusals.emplace_back(found->second, reason);
   tasks_.erase(found);
 }
 
 void target_executor::PollAdmission(deferred_work& work) {
-  for (const admission_decision& decision : admission_.Poll(deps_.clock.Now())) {
+  const absl::Time now = deps_.clock.Now();
+  ApplySlots(now);
+  for (const admission_decision& decision : admission_.Poll(now)) {
     ApplyDecision(decision, work);
   }
   SchedulePoll();
@@ -257,7 +266,6 @@
     {
       absl::MutexLock lock(&mutex_);
       scheduled_poll_at_ = absl::InfiniteFuture();
-      ApplySlots(deps_.clock.Now());
       PollAdmission(work);
     }
     RunDeferred(std::move(work));
@@ -282,21 +290,30 @@
 void target_executor::StartCall(uint64_t call_id) {
   std::shared_ptr<task> started;
   absl::optional<target_announcement> target;
+  deferred_work work;
   {
     absl::MutexLock lock(&mutex_);
     const auto found = tasks_.find(call_id);
     if (found == tasks_.end()) return;
     started = found->second;
     const absl::Time now = deps_.clock.Now();
-    started->started = true;
-    started->started_at = now;
     target = lease_.Current(now);
-    suspects_.OnStarted(started->request.fingerprint, now);
+    if (target) {
+      started->started = true;
+      started->started_at = now;
+      suspects_.OnStarted(started->request.fingerprint, now);
+    } else {
+      // The end of a lease says nothing about the calls that run, so this is not a target loss.
+      admission_.Finish(call_id, target_result::kCancelled, absl::ZeroDuration(), now);
+      tasks_.erase(found);
+      work.refusals.emplace_back(started, error_kind::kTargetUnreachable);
+      PollAdmission(work);
+    }
   }
+  if (!target) return RunDeferred(std::move(work));
   deps_.graph.RecordExecution(started->request.route, started->started_at);
   started->running = std::make_shared<running_call>(started->request, started->deadline);
   started->token = deps_.contexts.Add(started->running);
-  if (!target) return OnResponse(call_id, error{error_kind::kTargetUnreachable, "no target"});
   if (WantsCallLog(call_event::kStarted, started->request.request_id)) {
     LogCall(call_event::kStarted, started->request.request_id,
             {{"target", target->target_id},
@@ -400,7 +417,11 @@
     if (cancelled->started) {
       http_id = cancelled->http_id;
     } else {
-      admission_.Cancel(call_id, deps_.clock.Now());
+      const absl::Time now = deps_.clock.Now();
+      // A call that was admitted but not started has left the queue and occupies a slot.
+      if (!admission_.Cancel(call_id, now)) {
+        admission_.Finish(call_id, target_result::kCancelled, absl::ZeroDuration(), now);
+      }
       tasks_.erase(found);
       PollAdmission(work);
     }
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -1,6 +1,8 @@
 #include "gateway/target_executor.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
+#include <utility>
 
 #include "gateway/tests/mocks/target_executor_environment.h"
 
@@ -9,6 +11,8 @@
 
 struct executor_fixture : target_executor_environment {
   std::vector<execute_result> results;
+  /// Runs once, after a result has been recorded.
+  std::function<void()> after_result;
 
   explicit executor_fixture(bool announced = true) {
     if (announced) Announce(1);
@@ -24,8 +28,10 @@
     request.service = service;
     request.fingerprint = fingerprint;
     request.time_left = absl::Seconds(5);
-    return executor.Execute(
-        request, [this](execute_result executed) { results.push_back(std::move(executed)); });
+    return executor.Execute(request, [this](execute_result executed) {
+      results.push_back(std::move(executed));
+      if (after_result) std::exchange(after_result, nullptr)();
+    });
   }
 
   error_kind LastFailure() const { return std::get<error>(results.back().answer).kind; }
@@ -165,4 +171,78 @@
   CHECK(fixture.client.last_id == busy.running);
 }
 
+// Guards against a planned stop that waits until its deadline for a call that never ran.
+TEST_CASE("a call that is cancelled between admission and start does not stay in flight") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  const auto queued = fixture.Send("queued");
+  REQUIRE(fixture.executor.Status().queued == 1);
+  // The end of the first call admits the second one, which starts after the result was delivered.
+  fixture.after_result = [&] { queued->Cancel(); };
+  fixture.client.End(1, http_response{200, {}, ""});
+  REQUIRE(fixture.results.size() == 2);
+  CHECK(fixture.LastFailure() == error_kind::kCancelled);
+  CHECK(fixture.client.last_id == 1);
+  CHECK(fixture.executor.Status().running == 0);
+  CHECK(fixture.executor.Status().queued == 0);
+  fixture.Send("next");
+  CHECK(fixture.client.last_id == 2);
+}
+
+// Guards against reporting the calls at a target that still runs as its crash, because another call
+// was started after the target had withdrawn or its lease had expired.
+TEST_CASE("a call that finds no target at its start is refused and nothing is reported as lost") {
+  struct departure_case {
+    const char* description;
+    void (*depart)(executor_fixture&);
+  };
+  const std::vector<departure_case> cases = {
+      {"withdrawal",
+       [](executor_fixture& f) {
+         f.executor.HandleWithdrawal(1);
+         f.executor.HandleWithdrawal(1);
+       }},
+      {"expired lease", [](executor_fixture& f) { f.time.AdvanceBy(absl::Seconds(3)); }},
+  };
+  for (const departure_case& row : cases) {
+    INFO(row.description);
+    executor_fixture fixture;
+    fixture.executor.SetMaxConcurrency(2);
+    fixture.Send("long");
+    fixture.Send("short");
+    fixture.Send("queued");
+    REQUIRE(fixture.executor.Status().queued == 1);
+    // The end of the second call admits the third one, which starts after the result was delivered.
+    fixture.after_result = [&] { row.depart(fixture); };
+    fixture.client.End(2, http_response{200, {}, ""});
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(AnswerFor(fixture.LastFailure()).run == run_state::kNotRun);
+    CHECK(fixture.client.last_id == 2);
+    CHECK(fixture.executor.TakeCrashReports().empty());
+    CHECK(fixture.executor.Status().running == 1);
+    fixture.client.End(1, http_response{200, {}, ""});
+    CHECK(fixture.results.back().answer.index() == 0);
+    CHECK(fixture.executor.Status().running == 0);
+  }
+}
+
+// Guards against queued calls that wait for a free slot of a target that has left.
+TEST_CASE("queued calls are refused as not run when the target withdraws") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  fixture.Send("queued");
+  REQUIRE(fixture.executor.Status().queued == 1);
+  fixture.executor.HandleWithdrawal(1);
+  CHECK(fixture.executor.Status().queued == 1);
+  fixture.executor.HandleWithdrawal(1);
+  CHECK(fixture.executor.Status().queued == 0);
+  REQUIRE(fixture.results.size() == 1);
+  CHECK(fixture.LastFailure() == error_kind::kTargetUnreachable);
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.results.back().answer.index() == 0);
+  CHECK(fixture.executor.TakeCrashReports().empty());
+}
+
 }  // namespace teaseljunction
