Keep the event loop running after a task has thrown

A daemon whose loop ran one task that threw an exception (for example out of memory) handled no further posted task: its calls got no answer, and a planned stop waited forever in event_loop::Stop and was killed. The exception rejected the promise of the queue, which ended its processing. A thread in RunAndWait waited forever for a task that had thrown. Due timers after one that threw were not run or armed, later turn-end tasks were dropped, and a watched descriptor was not watched any more. The queues of the RPC threads had the same fault.

Each task and callback now runs by itself, and an exception is logged. RunAndWait passes it on to the waiting thread. loop_queue passes it to a failure callback and goes on with the next element.

--- a/src/event_loop/event_loop.h
+++ b/src/event_loop/event_loop.h
@@ -31,8 +31,8 @@
 /// call is served from request to response without switching threads. Servers and clients attach to
 /// it. They can defer work to the end of a turn of the loop and process it as a batch.
 ///
-/// Tasks must not block and must not throw: an exception that leaves a posted task stops the
-/// processing of posted tasks.
+/// Tasks must not block. An exception that leaves a task or a callback is logged, and the loop goes
+/// on with the next one.
 class event_loop : public scheduler {
  public:
   /// Starts the thread and returns once it is ready. `clock` must outlive the loop.
@@ -56,8 +56,9 @@
   /// Thread-safe.
   void Run(absl::AnyInvocable<void()> task);
 
-  /// Runs `task` on the loop's thread and returns when it has finished. Thread-safe. Must not be
-  /// called after `Stop`, because the task would never run.
+  /// Runs `task` on the loop's thread and returns when it has finished. An exception that leaves it
+  /// is thrown to the caller. Thread-safe. Must not be called after `Stop`, because the task would
+  /// never run.
   void RunAndWait(absl::AnyInvocable<void()> task);
 
   // See `scheduler`. Tasks run on the loop's thread; after `Stop` they are discarded and the id is
--- a/src/event_loop/internal/event_loop.cc
+++ b/src/event_loop/internal/event_loop.cc
@@ -41,6 +41,13 @@
     wake_ = wake_.eagerlyEvaluate([this](kj::Exception&& failure) { LogFailure(failure); });
   }
 
+  // Runs `task` and logs an exception that leaves it, so that it does not end other processing.
+  void RunTask(absl::AnyInvocable<void()>& task) {
+    KJ_IF_MAYBE (failure, kj::runCatchingExceptions([&task] { task(); })) {
+      LogFailure(*failure);
+    }
+  }
+
   void LogFailure(const kj::Exception& failure) {
     const auto suppressed = owner_.limiter_.Allow();
     if (suppressed) {
@@ -70,7 +77,8 @@
 class event_loop::descriptor_watch : public input_watch {
  public:
   descriptor_watch(event_loop& owner, int fd, absl::AnyInvocable<void()> on_input)
-      : on_input_(std::move(on_input)),
+      : owner_(owner),
+        on_input_(std::move(on_input)),
         observer_(owner.io_->unixEventPort, fd, kj::UnixEventPort::FdObserver::OBSERVE_READ),
         watch_promise_(WaitForInput().eagerlyEvaluate(
             [&owner](kj::Exception&& failure) { owner.state_->LogFailure(failure); })) {}
@@ -81,11 +89,12 @@
       // The observer is re-armed before the input is read, so that input which arrives during the
       // read is reported too.
       kj::Promise<void> next = WaitForInput();
-      on_input_();
+      owner_.state_->RunTask(on_input_);
       return next;
     });
   }
 
+  event_loop& owner_;
   absl::AnyInvocable<void()> on_input_;
   kj::UnixEventPort::FdObserver observer_;
   kj::Promise<void> watch_promise_;
@@ -109,7 +118,10 @@
 
 void event_loop::RunLoop() {
   kj::Promise<void> tasks =
-      posted_tasks_.Run(io_->unixEventPort, [](absl::AnyInvocable<void()> task) { task(); })
+      posted_tasks_
+          .Run(
+              io_->unixEventPort, [](absl::AnyInvocable<void()> task) { task(); },
+              [this](const kj::Exception& failure) { state_->LogFailure(failure); })
           .eagerlyEvaluate([this](kj::Exception&& failure) { state_->LogFailure(failure); });
   state_->stop_request.promise.wait(io_->waitScope);
   posted_tasks_.Close();
@@ -141,11 +153,15 @@
 void event_loop::RunAndWait(absl::AnyInvocable<void()> task) {
   if (IsLoopThread()) return task();
   absl::Notification done;
+  kj::Maybe<kj::Exception> failed;
   Post([&] {
-    task();
+    failed = kj::runCatchingExceptions([&task] { task(); });
     done.Notify();
   });
   done.WaitForNotification();
+  KJ_IF_MAYBE (failure, failed) {
+    kj::throwFatalException(kj::mv(*failure));
+  }
 }
 
 uint64_t event_loop::RunAt(absl::Time when, absl::AnyInvocable<void()> task) {
@@ -195,7 +211,7 @@
       timer_times_.erase(timers_.begin()->first.second);
       timers_.erase(timers_.begin());
     }
-    due();
+    state_->RunTask(due);
   }
   ArmTimer();
 }
@@ -210,7 +226,7 @@
 void event_loop::RunTurnEndTasks() {
   state_->turn_end_scheduled = false;
   std::vector<absl::AnyInvocable<void()>> due = std::exchange(state_->turn_end_tasks, {});
-  for (absl::AnyInvocable<void()>& task : due) task();
+  for (absl::AnyInvocable<void()>& task : due) state_->RunTask(task);
 }
 
 std::unique_ptr<input_watch> event_loop::WatchInput(int fd, absl::AnyInvocable<void()> on_input) {
--- a/src/event_loop/loop_queue.h
+++ b/src/event_loop/loop_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <kj/async-unix.h>
+#include <kj/exception.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -39,14 +40,15 @@
   }
 
   /// Passes each element to `handle` on the loop's thread until the returned promise is destroyed.
-  /// An exception from `handle` rejects the promise and ends the processing. Must be called on the
-  /// loop's thread.
-  kj::Promise<void> Run(kj::UnixEventPort& port, absl::AnyInvocable<void(T)> handle) {
+  /// An exception from `handle` is passed to `on_failure`, which must not throw; the next element
+  /// follows. Must be called on the loop's thread.
+  kj::Promise<void> Run(kj::UnixEventPort& port, absl::AnyInvocable<void(T)> handle,
+                        absl::AnyInvocable<void(const kj::Exception&)> on_failure) {
     auto observer = kj::heap<kj::UnixEventPort::FdObserver>(
         port, event_fd_, kj::UnixEventPort::FdObserver::OBSERVE_READ);
-    auto owned_handle = kj::heap<absl::AnyInvocable<void(T)>>(std::move(handle));
-    kj::Promise<void> running = HandleNextBatch(*observer, *owned_handle);
-    return running.attach(kj::mv(owned_handle), kj::mv(observer));
+    auto owned_handlers = kj::heap<handlers>(handlers{std::move(handle), std::move(on_failure)});
+    kj::Promise<void> running = HandleNextBatch(*observer, *owned_handlers);
+    return running.attach(kj::mv(owned_handlers), kj::mv(observer));
   }
 
   /// Closes the queue to further elements and returns those that have not been handled.
@@ -58,15 +60,24 @@
   }
 
  private:
-  kj::Promise<void> HandleNextBatch(kj::UnixEventPort::FdObserver& observer,
-                                    absl::AnyInvocable<void(T)>& handle) {
-    return observer.whenBecomesReadable().then([this, &observer, &handle] {
+  struct handlers {
+    absl::AnyInvocable<void(T)> handle;
+    absl::AnyInvocable<void(const kj::Exception&)> on_failure;
+  };
+
+  kj::Promise<void> HandleNextBatch(kj::UnixEventPort::FdObserver& observer, handlers& callbacks) {
+    return observer.whenBecomesReadable().then([this, &observer, &callbacks] {
       // The observer is re-armed before the queue is read, so that an element posted in between
       // wakes the loop again.
-      kj::Promise<void> next = HandleNextBatch(observer, handle);
+      kj::Promise<void> next = HandleNextBatch(observer, callbacks);
       eventfd_t count = 0;
       eventfd_read(event_fd_, &count);
-      for (T& element : TakeAll()) handle(std::move(element));
+      for (T& element : TakeAll()) {
+        KJ_IF_MAYBE (failure,
+                     kj::runCatchingExceptions([&] { callbacks.handle(std::move(element)); })) {
+          callbacks.on_failure(*failure);
+        }
+      }
       return next;
     });
   }
--- a/src/event_loop/tests/event_loop_test.cc
+++ b/src/event_loop/tests/event_loop_test.cc
@@ -6,6 +6,8 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <stdexcept>
+#include <utility>
 #include <vector>
 
 #include "absl/synchronization/notification.h"
@@ -89,5 +91,77 @@
   CHECK(second.HasBeenNotified());
 }
 
+// Guards against a loop that runs no further task, and cannot be stopped, after a task has thrown.
+TEST_CASE("tasks that throw do not end the processing of other tasks") {
+  struct failure_case {
+    const char* description;
+    void (*run)(event_loop&, absl::AnyInvocable<void()> failing, absl::AnyInvocable<void()> next);
+  };
+  const std::vector<failure_case> cases = {
+      {"posted",
+       [](event_loop& loop, absl::AnyInvocable<void()> failing, absl::AnyInvocable<void()> next) {
+         loop.Post(std::move(failing));
+         loop.Post(std::move(next));
+       }},
+      {"at a time",
+       [](event_loop& loop, absl::AnyInvocable<void()> failing, absl::AnyInvocable<void()> next) {
+         const absl::Time now = system_clock_source().Now();
+         loop.RunAt(now, std::move(failing));
+         loop.RunAt(now + absl::Milliseconds(5), std::move(next));
+       }},
+      {"at the end of a turn",
+       [](event_loop& loop, absl::AnyInvocable<void()> failing, absl::AnyInvocable<void()> next) {
+         loop.RunAndWait([&] {
+           loop.RunAtTurnEnd(std::move(failing));
+           loop.RunAtTurnEnd(std::move(next));
+         });
+       }},
+  };
+  const system_clock_source clock;
+  for (const failure_case& row : cases) {
+    INFO(row.description);
+    event_loop loop(clock);
+    absl::Notification done;
+    row.run(
+        loop, [] { throw std::runtime_error("failed"); }, [&] { done.Notify(); });
+    CHECK(done.WaitForNotificationWithTimeout(absl::Seconds(10)));
+  }
+}
+
+// Guards against a caller that waits forever for a task that has thrown.
+TEST_CASE("an exception of an awaited task is passed to the waiting thread") {
+  const system_clock_source clock;
+  event_loop loop(clock);
+  CHECK_THROWS(loop.RunAndWait([] { throw std::runtime_error("failed"); }));
+  bool run = false;
+  loop.RunAndWait([&] { run = true; });
+  CHECK(run);
+}
+
+// Guards against a connection that is no longer served after one of its events has failed.
+TEST_CASE("input is still reported after a callback has thrown") {
+  const system_clock_source clock;
+  event_loop loop(clock);
+  const int event_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  std::unique_ptr<input_watch> watch;
+  absl::Notification failed;
+  absl::Notification second;
+  loop.RunAndWait([&] {
+    watch = loop.WatchInput(event_fd, [&] {
+      eventfd_t count = 0;
+      eventfd_read(event_fd, &count);
+      if (failed.HasBeenNotified()) return second.Notify();
+      failed.Notify();
+      throw std::runtime_error("failed");
+    });
+  });
+  eventfd_write(event_fd, 1);
+  failed.WaitForNotification();
+  eventfd_write(event_fd, 1);
+  CHECK(second.WaitForNotificationWithTimeout(absl::Seconds(10)));
+  loop.RunAndWait([&] { watch.reset(); });
+  close(event_fd);
+}
+
 }  // namespace
 }  // namespace teaseljunction
--- a/src/rpc/internal/client_thread_worker.cc
+++ b/src/rpc/internal/client_thread_worker.cc
@@ -48,7 +48,11 @@
       connections.Cancel(request.cancelled_id);
     }
   };
-  kj::Promise<void> tasks = queue_.Run(io.unixEventPort, handle).eagerlyEvaluate(nullptr);
+  const auto log_failure = [this](const kj::Exception& failure) {
+    LogRpcWarning(limiter_, failure.getDescription().cStr());
+  };
+  kj::Promise<void> tasks =
+      queue_.Run(io.unixEventPort, handle, log_failure).eagerlyEvaluate(nullptr);
   stop.promise.wait(io.waitScope);
   for (queued_request& request : queue_.Close()) {
     if (request.call != nullptr) connections.Start(std::move(request.call));
--- a/src/rpc/internal/server_thread_worker.cc
+++ b/src/rpc/internal/server_thread_worker.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "event_loop/kj_log_callback.h"
+#include "rpc/internal/kj_support.h"
 
 namespace teaseljunction {
 
@@ -43,8 +44,13 @@
   server_connections connections(io, settings_, service_, listen_fd_, calls, limiter_);
   stop_ = &stop;
   connections_ = &connections;
+  const auto log_failure = [this](const kj::Exception& failure) {
+    LogRpcWarning(limiter_, failure.getDescription().cStr());
+  };
   kj::Promise<void> tasks =
-      queue_->Run(io.unixEventPort, [](absl::AnyInvocable<void()> task) { task(); })
+      queue_
+          ->Run(
+              io.unixEventPort, [](absl::AnyInvocable<void()> task) { task(); }, log_failure)
           .eagerlyEvaluate(nullptr);
   stop.promise.wait(io.waitScope);
   connections.CloseAll();
