Accept further connections at once after a client has reset its own

Calls of other daemons waited for a connection although nothing was wrong with them: a client that reset its connection before the server had accepted it made the look-up of its address fail with an exception. The server took that for a failed accept and waited 20 ms before the next one; each such client delayed all that waited to be accepted, for example while a restarted daemon is reconnected to, or in the 100 ms in which a drain still accepts.

The delay itself was not measured.

PeerAddress returns "unknown" for such a connection. The connection then ends like any other, when the first read fails.

--- a/src/rpc/internal/kj_support.cc
+++ b/src/rpc/internal/kj_support.cc
@@ -55,8 +55,10 @@
 
 std::string PeerAddress(kj::AsyncIoStream& stream) {
   sockaddr_storage storage = {};
-  kj::uint length = sizeof(storage);
-  stream.getpeername(reinterpret_cast<sockaddr*>(&storage), &length);
+  socklen_t length = sizeof(storage);
+  const int fd = stream.getFd().orDefault(-1);
+  // Unlike the method of the stream, the function reports a failure without an exception.
+  if (getpeername(fd, reinterpret_cast<sockaddr*>(&storage), &length) != 0) return "unknown";
   std::array<char, INET6_ADDRSTRLEN> text = {};
   if (storage.ss_family == AF_INET6) {
     const auto* v6 = reinterpret_cast<const sockaddr_in6*>(&storage);
--- a/src/rpc/internal/kj_support.h
+++ b/src/rpc/internal/kj_support.h
@@ -53,7 +53,8 @@
 /// few seconds. Errors are ignored.
 void SetSocketOptions(int fd);
 
-/// Returns the "IP:port" of the remote end of a connection; IPv6 addresses are in brackets.
+/// Returns the "IP:port" of the remote end of a connection; IPv6 addresses are in brackets. Returns
+/// "unknown" when the remote end has already reset the connection.
 std::string PeerAddress(kj::AsyncIoStream& stream);
 
 /// Converts to a KJ duration, clamped to the range from zero to 24 hours.
--- a/src/rpc/internal/server_connections.cc
+++ b/src/rpc/internal/server_connections.cc
@@ -52,8 +52,7 @@
       .then([this](kj::Own<kj::AsyncIoStream>&& stream) { AddConnection(kj::mv(stream)); })
       .then([this] { return Accept(); },
             [this](kj::Exception&& failure) {
-              // For example when the process is out of file descriptors, or the client has already
-              // closed the connection.
+              // For example when the process is out of file descriptors.
               taskFailed(kj::mv(failure));
               return io_.provider->getTimer().afterDelay(kAcceptRetryDelay).then([this] {
                 return Accept();
