End the handling of signals before the daemon is destroyed

A signal that arrived while a daemon was ending used an object that no longer existed, which can end the process by a crash before its last answers and log lines are out.

The crash itself was not reproduced in a daemon.

Its destructor ends the thread and waits for a running handler, and it runs before the daemon is destroyed. Signals stay blocked, so a later one has no effect.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,13 +1,13 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <thread>
 
 #include "absl/flags/usage.h"
 #include "absl/flags/usage_config.h"
 #include "absl/strings/match.h"
 #include "absl/synchronization/mutex.h"
 #include "common/log.h"
+#include "common/signal_watcher.h"
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
 
@@ -17,29 +17,18 @@
 namespace {
 
 constexpr int kUsageExitCode = 2;
+constexpr int kStopSignals[] = {SIGTERM, SIGINT};
 
-// Blocks SIGTERM and SIGINT in this thread and in all threads that it starts. Also ignores SIGPIPE,
-// because writes to closed connections return an error.
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
-void StopOnSignal(sigset_t signals, daemon_process& process) {
-  std::thread([signals, &process] {
-    int signal = 0;
-    sigwait(&signals, &signal);
-    process.RequestStop();
-  }).detach();
+bool RunUntilStopped(daemon_process& process) {
+  const signal_watcher watcher(kStopSignals, [&process](int) { process.RequestStop(); });
+  process.Start();
+  return process.Run();
 }
 
 int Serve(daemon_settings settings) {
-  const sigset_t signals = BlockStopSignals();
+  BlockSignals(kStopSignals);
+  // Writes to closed connections return an error.
+  std::signal(SIGPIPE, SIG_IGN);
   auto built = Capture<std::unique_ptr<daemon_process>>(
       [&] { return daemon_builder().WithSettings(std::move(settings)).Build(); });
   if (const auto* failure = std::get_if<error>(&built)) {
@@ -48,9 +37,7 @@
     return EXIT_FAILURE;
   }
   auto process = std::get<std::unique_ptr<daemon_process>>(std::move(built));
-  StopOnSignal(signals, *process);
-  process->Start();
-  const bool finished = process->Run();
+  const bool finished = RunUntilStopped(*process);
   process.reset();
   LOG(INFO) << "daemon: stopped.";
   FlushLog();
