Start the planned stop on SIGTERM instead of ending at once

A daemon that logs to its standard output ended at once on SIGTERM, without a planned stop: every request that it had accepted was cut, and running calls at its target were lost. The kernel hands the signal to a thread that does not block it, and the writer thread, the first of these, has the default action, which ends the process.

--- a/src/common/internal/log_writer.cc
+++ b/src/common/internal/log_writer.cc
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -16,7 +17,16 @@
 
 }  // namespace
 
-log_writer::log_writer(int fd) : fd_(fd), thread_([this] { Run(); }) {}
+log_writer::log_writer(int fd) : fd_(fd) {
+  // A signal of the process must not reach this thread, which may be started before the program
+  // blocks signals: its default action would end the process.
+  sigset_t all;
+  sigset_t previous;
+  sigfillset(&all);
+  pthread_sigmask(SIG_SETMASK, &all, &previous);
+  thread_ = std::thread([this] { Run(); });
+  pthread_sigmask(SIG_SETMASK, &previous, nullptr);
+}
 
 log_writer::~log_writer() {
   {
--- a/src/common/tests/log_writer_test.cc
+++ b/src/common/tests/log_writer_test.cc
@@ -5,6 +5,8 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <ctime>
 #include <string>
 
 #include "absl/strings/match.h"
@@ -57,6 +59,23 @@
   CHECK(read(pipe.ends[0], text.data(), text.size()) == 6);
 }
 
+// Guards against a SIGTERM that kills a daemon at once instead of starting its planned stop,
+// because the writer had been started before the signal was blocked.
+TEST_CASE("the thread of the writer takes no signals of the process") {
+  test_pipe pipe;
+  log_writer writer(pipe.ends[1]);
+  // A thread takes signals once it runs.
+  writer.Write("first");
+  writer.Flush(absl::Seconds(10));
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  kill(getpid(), SIGUSR1);
+  const timespec timeout = {10, 0};
+  CHECK(sigtimedwait(&set, nullptr, &timeout) == SIGUSR1);
+}
+
 // Guards against callers that block on the reader of the log: without a reader, far more lines than
 // the pipe and the buffer can hold are accepted, and the excess is counted as dropped.
 TEST_CASE("a blocked reader causes dropped lines but does not block the caller") {
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -26,9 +26,6 @@
 }
 
 int Serve(daemon_settings settings) {
-  BlockSignals(kStopSignals);
-  // Writes to closed connections return an error.
-  std::signal(SIGPIPE, SIG_IGN);
   auto built = Capture<std::unique_ptr<daemon_process>>(
       [&] { return daemon_builder().WithSettings(std::move(settings)).Build(); });
   if (const auto* failure = std::get_if<error>(&built)) {
@@ -51,6 +48,10 @@
   // Debian builds Abseil with deadlock detection, which makes nested locks about 15 times slower.
   absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   using namespace teaseljunction;  // NOLINT(google-build-using-namespace)
+  // Before any thread is started.
+  BlockSignals(kStopSignals);
+  // Writes to closed connections return an error.
+  std::signal(SIGPIPE, SIG_IGN);
   absl::SetProgramUsageMessage(
       "The daemon of teaseljunction. One runs beside each target; with --control it is also a "
       "member of the control group. Each flag can also be set by an environment variable, for "
