Close the connection of a response that does not name its request

What callers saw: after a target answered once without the echoed request id, the next request on the kept connection could read the real, late answer of the one before; it was recognised by its id and failed (502 although it had run). Cause: such a response was failed in curl_transfer::Finish, when libcurl had already put the connection back into its pool. Fix: for requests with an echoed header, CURLOPT_FORBID_REUSE is set until the header has been read with the expected value, so libcurl closes every other connection.

--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -121,6 +121,14 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &curl_transfer::OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+  SetEchoMatched(false);
+}
+
+void curl_transfer::SetEchoMatched(bool matched) {
+  echo_matched_ = matched;
+  if (request_.expected.echoed.name.empty()) return;
+  // After a response without the id, the one to this request may still follow on the connection.
+  curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, matched ? 0L : 1L);
 }
 
 int curl_transfer::OnBeforeSend(void* self, char*, char*, int, int) {
@@ -145,7 +153,7 @@
     // Discard the headers of an interim (1xx) response.
     response_.headers.clear();
     framing_known_ = false;
-    echo_matched_ = false;
+    SetEchoMatched(false);
     return true;
   }
   const size_t colon = line.find(':');
@@ -167,7 +175,7 @@
     echo_mismatch_ = value != echo.value;
     // Requests and responses on the connection are out of sync; the error makes libcurl close it.
     if (echo_mismatch_) return false;
-    echo_matched_ = true;
+    SetEchoMatched(true);
   }
   const bool keep = request_.method == "HEAD" && absl::EqualsIgnoreCase(name, "Content-Length");
   if (keep || !IsTransferHeader(name)) {
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -56,6 +56,8 @@
   void SetRequest();
   void SetHeaders();
   void SetLimits(const curl_client_settings& settings);
+  /// Records whether the response names this request. The connection is kept only if it does.
+  void SetEchoMatched(bool matched);
   bool ReadHeader(absl::string_view line);
   /// Returns why the response is not the expected one, or an empty string.
   absl::string_view MismatchDetail() const;
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -48,6 +48,37 @@
   return absl::StrCat("HTTP/1.1 200 OK\r\n", headers, "\r\n", body);
 }
 
+/// Sends a request that is idempotent and identified by `id`, which its server must repeat.
+http_outcome SendNamed(http_client& client, const std::string& address, const std::string& id,
+                       expected_answer expected = {}, const std::string& method = "POST") {
+  std::promise<http_outcome> promise;
+  http_request request{method, "/", {{"X-Id", id}, {"X-End", "body"}}, ""};
+  if (method == "POST") request.body = "body";
+  expected.echoed = {"X-Id", id};
+  request.expected = std::move(expected);
+  client.Send(address, std::move(request), false, kLongTimeout,
+              [&](http_outcome done) { promise.set_value(std::move(done)); });
+  return promise.get_future().get();
+}
+
+/// Returns the value of X-Id in the text of a request.
+std::string IdOf(absl::string_view request) {
+  constexpr absl::string_view name = "X-Id: ";
+  const size_t begin = request.find(name) + name.size();
+  return std::string(request.substr(begin, request.find('\r', begin) - begin));
+}
+
+std::string NamedResponse(absl::string_view id, int status = 200) {
+  return absl::StrCat("HTTP/1.1 ", status, " Status\r\nX-Id: ", id,
+                      "\r\nContent-Length: ", id.size(), "\r\n\r\n", id);
+}
+
+/// Returns the status and body of a response, or the kind of an error.
+std::string Summary(const http_outcome& done) {
+  if (done.index() == 1) return std::string(AnswerFor(std::get<1>(done).kind).name);
+  return absl::StrCat(std::get<0>(done).status, " ", std::get<0>(done).body);
+}
+
 struct response_fault_case {
   std::string name;
   std::string reply;
@@ -183,4 +214,25 @@
   }
 }
 
+// Guards against a late response that is read as the answer to the next request, because the
+// connection of a response without an id was kept.
+TEST_CASE("a response that does not name its request ends its connection") {
+  std::atomic<bool> named = false;
+  raw_server server([&](raw_socket& connection) {
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      const std::string id = IdOf(request);
+      connection.Write(named ? NamedResponse(id) : Response("Content-Length: 0\r\n", ""));
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  CHECK(Summary(SendNamed(*client, server.address(), "1")) == "target-failed");
+  named = true;
+  CHECK(Summary(SendNamed(*client, server.address(), "2")) == "200 2");
+  CHECK(server.connections() == 2);
+  CHECK(Summary(SendNamed(*client, server.address(), "3")) == "200 3");
+  CHECK(server.connections() == 2);
+}
+
 }  // namespace teaseljunction
