Take a target's response only as the answer to the attempt that it names

What callers saw: a faulty target wrote an earlier refusal once more on a kept connection; the next request was answered 503 "not run", or sent to a second target, although the first target ran it. Cause: in the product's own interface, responses carry nothing that ties them to their request; the echo was only checked where callers choose the request id. Fix: targets repeat Teaseljunction-Context, which is unique for each attempt; the daemon removes it from the response. A response with another token is never used, one without a token only as the first one on a new connection, which is then closed. Targets that do not repeat the token still work, with one request per connection. The request id is not used for this, because child calls share it.

--- a/src/gateway/call_header_names.h
+++ b/src/gateway/call_header_names.h
@@ -14,7 +14,8 @@
   std::string deadline = "Teaseljunction-Deadline-Ms";
   /// Passes the name of the client account to the target.
   std::string client_account = "Teaseljunction-Client-Account";
-  /// Token of the running call. A target repeats it in its child calls.
+  /// Token of the running call. A target repeats it in its child calls and in its response, which
+  /// it identifies unless `caller_request_id` is set.
   std::string context = "Teaseljunction-Context";
   /// Response header by which a target reports that it did not run the request.
   std::string not_run = "Teaseljunction-Shed";
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "common/event_log.h"
 #include "common/log.h"
@@ -40,6 +41,10 @@
   add(header_names.target_id, target.target_id);
   if (header_names.caller_request_id) {
     sent.expected.echoed = {header_names.request_id, request.request_id};
+  } else if (!header_names.context.empty()) {
+    // The request id does not identify one attempt: child calls share that of the entry request.
+    sent.expected.echoed = {header_names.context, std::string(token)};
+    sent.expected.echo_optional = true;
   }
   sent.expected.present = header_names.required_response_header;
   sent.expected.may_end_with_connection = header_names.allow_close_delimited_response;
@@ -59,10 +64,14 @@
   return refused ? target_result::kShed : target_result::kAnswered;
 }
 
-outcome<call_answer> ToCallAnswer(outcome<http_response> response, target_result result) {
+outcome<call_answer> ToCallAnswer(outcome<http_response> response, target_result result,
+                                  const call_header_names& header_names) {
   if (result == target_result::kShed) return error{error_kind::kTargetShed, ""};
   if (auto* failure = std::get_if<error>(&response)) return *failure;
   auto& received = std::get<http_response>(response);
+  std::erase_if(received.headers, [&header_names](const http_header& header) {
+    return absl::EqualsIgnoreCase(header.name, header_names.context);
+  });
   return call_answer{received.status, std::move(received.headers), std::move(received.body)};
 }
 
@@ -333,7 +342,7 @@
              {"status", failure != nullptr ? 0 : std::get<http_response>(response).status},
              {"target_ms", service_time}});
   }
-  Deliver(*finished, ToCallAnswer(std::move(response), result), service_time);
+  Deliver(*finished, ToCallAnswer(std::move(response), result, deps_.headers), service_time);
   RunDeferred(std::move(work));
 }
 
--- a/src/gateway/tests/mocks/fake_http_client.h
+++ b/src/gateway/tests/mocks/fake_http_client.h
@@ -15,6 +15,7 @@
                 absl::AnyInvocable<void(outcome<http_response>)> completion) override {
     last_at_most_once = at_most_once;
     last_path = request.path;
+    last_request = std::move(request);
     open[++last_id] = std::move(completion);
     return last_id;
   }
@@ -29,6 +30,7 @@
   uint64_t last_id = 0;
   bool last_at_most_once = false;
   std::string last_path;
+  http_request last_request;
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -1,8 +1,14 @@
 #include "gateway/target_executor.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <future>
+#include <set>
 
+#include "absl/strings/str_cat.h"
 #include "gateway/tests/mocks/target_executor_environment.h"
+#include "http/curl_client.h"
+#include "http/tests/raw_socket.h"
 
 namespace teaseljunction {
 namespace {
@@ -28,11 +34,115 @@
         request, [this](execute_result executed) { results.push_back(std::move(executed)); });
   }
 
+  const call_answer& LastAnswer() const { return std::get<call_answer>(results.back().answer); }
+
   error_kind LastFailure() const { return std::get<error>(results.back().answer).kind; }
 };
 
+/// Returns "status body" of the answer, or the kind of the error.
+std::string Summary(const execute_result& executed) {
+  if (const auto* failure = std::get_if<error>(&executed.answer)) {
+    return std::string(AnswerFor(failure->kind).name);
+  }
+  const auto& answer = std::get<call_answer>(executed.answer);
+  return absl::StrCat(answer.status, " ", answer.body);
+}
+
+/// An executor that sends its calls over real connections.
+struct connected_executor : target_executor_environment {
+  std::unique_ptr<curl_client> connections = curl_client_builder().Threads(1).Build();
+  target_executor connected{
+      target_executor_dependencies{time, time, contexts, *connections, quarantine, headers, graph},
+      "d1", admission_controller_builder().Build()};
+
+  explicit connected_executor(const std::string& address) {
+    connected.HandleAnnouncement({"stock", 1, 8, false, 0, address});
+  }
+  // Completes the calls while the executor still exists.
+  ~connected_executor() { connections.reset(); }
+
+  std::string Send(const std::string& request_id) {
+    call request;
+    request.service = "stock";
+    request.request_id = request_id;
+    request.method = "GET";
+    request.path = "/stock/1";
+    request.idempotent = true;
+    request.time_left = absl::Seconds(10);
+    std::promise<execute_result> finished;
+    connected.Execute(
+        request, [&finished](execute_result executed) { finished.set_value(std::move(executed)); });
+    return Summary(finished.get_future().get());
+  }
+};
+
 }  // namespace
 
+// Guards against "not run" for a request that its target ran, after the target has sent an earlier
+// refusal once more.
+TEST_CASE("a stale refusal of a target is not reported as not run") {
+  const bool echoes = GENERATE(true, false);
+  std::atomic<int> runs = 0;
+  raw_server target([&](raw_socket& connection) {
+    std::string refusal;
+    while (true) {
+      const std::string request = connection.ReadUntil("\r\n\r\n");
+      if (request.empty()) return;
+      const size_t context = request.find("Teaseljunction-Context: ");
+      const std::string echo =
+          echoes ? request.substr(context, request.find('\r', context) - context) + "\r\n" : "";
+      if (refusal.empty()) {
+        refusal = "HTTP/1.1 503 Shed\r\nTeaseljunction-Shed: true\r\n" + echo +
+                  "Content-Length: 0\r\n\r\n";
+        connection.Write(refusal);
+        continue;
+      }
+      ++runs;
+      connection.Write(refusal);
+      connection.Write("HTTP/1.1 200 OK\r\n" + echo + "Content-Length: 4\r\n\r\ndone");
+    }
+  });
+  connected_executor fixture(target.address());
+  CHECK(fixture.Send("r1") == "target-shed");
+  const std::string second = fixture.Send("r2");
+  // A target that does not repeat ids gets a new connection for each request, so it refuses again.
+  CHECK(second == (echoes ? "target-crashed" : "target-shed"));
+  CHECK(runs == (echoes ? 1 : 0));
+  CHECK(target.connections() == (echoes ? 1 : 2));
+}
+
+// Guards against accepting the answer to another attempt or child call of the same request, and
+// against passing the token of a call on to its caller.
+TEST_CASE("each attempt at a target is identified by a value of its own") {
+  executor_fixture fixture;
+  std::set<std::string> values;
+  for (int i = 0; i < 3; ++i) {
+    fixture.Send("f");
+    const http_request& sent = fixture.client.last_request;
+    const http_header& echoed = sent.expected.echoed;
+    CHECK(echoed.name == fixture.headers.context);
+    CHECK(FindHeader(sent.headers, echoed.name) == absl::string_view(echoed.value));
+    CHECK(sent.expected.echo_optional);
+    values.insert(echoed.value);
+    fixture.client.End(fixture.client.last_id,
+                       http_response{200, {{echoed.name, echoed.value}, {"X-Kept", "1"}}, ""});
+    REQUIRE(fixture.LastAnswer().headers.size() == 1);
+    CHECK(fixture.LastAnswer().headers[0].name == "X-Kept");
+  }
+  CHECK(values.size() == 3);
+}
+
+// Guards against accepting responses without an id from targets that always repeat the caller's.
+TEST_CASE("targets that repeat the caller's request id must do so in every response") {
+  executor_fixture fixture;
+  fixture.headers.caller_request_id = true;
+  fixture.headers.request_id = "X-Id";
+  fixture.headers.context = "";
+  fixture.Send("f");
+  CHECK(fixture.client.last_request.expected.echoed.name == "X-Id");
+  CHECK_FALSE(fixture.client.last_request.expected.echo_optional);
+}
+
 // Guards against a crash that goes unnoticed because the lost call ends before the loss of the
 // process is known. A request that crashed its targets was then never quarantined.
 TEST_CASE("a request that was lost with its target becomes a suspect") {
--- a/src/http/curl_client.h
+++ b/src/http/curl_client.h
@@ -39,6 +39,7 @@
 /// handle with its own connection pool. No request is sent twice: automatic retries of libcurl are
 /// aborted and reported as kTargetFailed. A response whose end cannot be verified, with neither
 /// Content-Length nor chunked encoding, is kTargetFailed too, unless the request allows it.
+/// The connection of a response that lacks the expected echo is closed.
 class curl_client : public http_client {
  public:
   /// Completes all running requests with kCancelled.
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -198,8 +198,10 @@
 
 absl::string_view curl_transfer::MismatchDetail() const {
   const expected_answer& expected = request_.expected;
-  if (!expected.echoed.name.empty() && !echo_matched_)
+  if (!expected.echoed.name.empty() && !echo_matched_ &&
+      !(expected.echo_optional && IsConnectionNew())) {
     return "the response does not name its request";
+  }
   const bool success =
       response_.status >= kMinSuccessStatus && response_.status < kMinRedirectStatus;
   if (success && !expected.present.empty() && !FindHeader(response_.headers, expected.present)) {
@@ -208,6 +210,12 @@
   return "";
 }
 
+bool curl_transfer::IsConnectionNew() const {
+  long connection_count = 0;
+  curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connection_count);
+  return connection_count > 0;
+}
+
 bool curl_transfer::IsBodyEndKnown() const {
   return framing_known_ || request_.expected.may_end_with_connection || request_.method == "HEAD" ||
          response_.status == 204 || response_.status == 304;
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -61,6 +61,8 @@
   bool ReadHeader(absl::string_view line);
   /// Returns why the response is not the expected one, or an empty string.
   absl::string_view MismatchDetail() const;
+  /// Returns true if no other request was sent on the connection before.
+  bool IsConnectionNew() const;
   error ErrorFor(CURLcode code) const;
   /// Returns true if the end of the body is determined by the message, or if the request allows the
   /// body to end with the connection.
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -235,4 +235,57 @@
   CHECK(server.connections() == 2);
 }
 
+// Guards against a stale response on a kept connection that is taken as the answer to the next
+// request, which has run or is running.
+TEST_CASE("an earlier refusal that is sent once more is not the answer to the next request") {
+  const bool named = GENERATE(true, false);
+  raw_server server([named](raw_socket& connection) {
+    std::string first_response;
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      const std::string id = IdOf(request);
+      connection.Write(first_response);
+      const std::string response =
+          absl::StrCat("HTTP/1.1 503 Status\r\n", named ? absl::StrCat("X-Id: ", id, "\r\n") : "",
+                       "Content-Length: ", id.size(), "\r\n\r\n", id);
+      if (first_response.empty()) first_response = response;
+      connection.Write(response);
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  const expected_answer expected = {.echo_optional = true};
+  CHECK(Summary(SendNamed(*client, server.address(), "1", expected)) == "503 1");
+  CHECK(Summary(SendNamed(*client, server.address(), "2", expected)) ==
+        (named ? "target-failed" : "503 2"));
+  CHECK(Summary(SendNamed(*client, server.address(), "3", expected)) == "503 3");
+  CHECK(server.connections() == (named ? 2 : 3));
+}
+
+// Guards against taking a response without an id on a kept connection as the answer, and against
+// failing targets that never repeat the id.
+TEST_CASE("a response without an id is accepted only on a new connection, which is not kept") {
+  std::atomic<bool> named = true;
+  raw_server server([&](raw_socket& connection) {
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      connection.Write(named ? NamedResponse(IdOf(request))
+                             : Response("Content-Length: 4\r\n", "none"));
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  const expected_answer expected = {.echo_optional = true};
+  CHECK(Summary(SendNamed(*client, server.address(), "1", expected)) == "200 1");
+  named = false;
+  CHECK(Summary(SendNamed(*client, server.address(), "2", expected)) == "target-failed");
+  CHECK(server.connections() == 1);
+  CHECK(Summary(SendNamed(*client, server.address(), "3", expected)) == "200 none");
+  CHECK(server.connections() == 2);
+  named = true;
+  CHECK(Summary(SendNamed(*client, server.address(), "4", expected)) == "200 4");
+  CHECK(Summary(SendNamed(*client, server.address(), "5", expected)) == "200 5");
+  CHECK(server.connections() == 3);
+}
+
 }  // namespace teaseljunction
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -11,6 +11,9 @@
 struct expected_answer {
   /// Request header that the server must repeat in the response; not checked if its name is empty.
   http_header echoed;
+  /// True if the first response of a new connection may lack the echoed header. Its connection is
+  /// then closed. False if every response must have the header.
+  bool echo_optional = false;
   /// Name of a header that 2xx responses must have; not checked if it is empty.
   std::string present;
   /// True if the end of a response without a length may be the end of its connection.
--- a/src/standin/internal/standin_http_server.cc
+++ b/src/standin/internal/standin_http_server.cc
@@ -24,6 +24,7 @@
 constexpr unsigned int kIdleTimeoutSeconds = 60;
 constexpr size_t kMaxBodyBytes = 8 << 20;
 constexpr absl::Duration kIdlePollInterval = absl::Milliseconds(10);
+constexpr const char* kContextHeader = "Teaseljunction-Context";
 
 // Returns true when the peer has closed the connection. Does not consume received data.
 bool HasPeerClosed(int fd) {
@@ -48,12 +49,17 @@
 // Replaces the default unescaping of libmicrohttpd and leaves percent-encoding in place.
 size_t KeepEncoded(void*, MHD_Connection*, char* text) { return std::strlen(text); }
 
-MHD_Result QueueReply(MHD_Connection* connection, const standin_reply& reply) {
+// Every reply repeats the context of its request, so that the daemon can match them.
+MHD_Result QueueReply(MHD_Connection* connection, const standin_request& request,
+                      const standin_reply& reply) {
   MHD_Response* response = MHD_create_response_from_buffer(
       reply.body.size(), const_cast<char*>(reply.body.data()), MHD_RESPMEM_MUST_COPY);
   for (const http_header& header : reply.headers) {
     MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
   }
+  if (const auto context = FindHeader(request.headers, kContextHeader)) {
+    MHD_add_response_header(response, kContextHeader, std::string(*context).c_str());
+  }
   const MHD_Result queued = MHD_queue_response(connection, reply.status, response);
   MHD_destroy_response(response);
   return queued;
@@ -156,13 +162,13 @@
 }
 
 int standin_http_server::Dispatch(MHD_Connection* connection, exchange& current) {
-  if (current.too_large) return QueueReply(connection, {413, {}, ""});
+  if (current.too_large) return QueueReply(connection, current.request, {413, {}, ""});
   if (absl::StartsWith(current.request.path, "/standin/")) {
-    return QueueReply(connection, endpoint_handler_(current.request));
+    return QueueReply(connection, current.request, endpoint_handler_(current.request));
   }
   if (current.dispatched) {
     absl::MutexLock lock(&current.mutex);
-    return QueueReply(connection, current.reply);
+    return QueueReply(connection, current.request, current.reply);
   }
   current.dispatched = true;
   const int fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
