Send health probes on connections of their own

What callers saw: after the probe at a daemon's start, a late or repeated probe response could be read as the response to the first call on the kept connection (no id, so 502 although it had run), and a stale response to a call as that of the probe. Cause: probes shared the connections of calls, but their responses name no request. Fix: a request can ask for a connection of its own (CURLOPT_FRESH_CONNECT and CURLOPT_FORBID_REUSE); the probe does.

--- a/src/daemon/internal/target_probe.cc
+++ b/src/daemon/internal/target_probe.cc
@@ -44,6 +44,8 @@
 void target_probe::SendProbe() {
   http_request request;
   request.method = "GET";
+  // The response names no request, so it must not share a connection with calls.
+  request.own_connection = true;
   {
     absl::MutexLock lock(&mutex_);
     if (deps_.executor.CurrentTarget() || deps_.clock.Now() >= probe_deadline_) return;
--- a/src/daemon/tests/target_probe_test.cc
+++ b/src/daemon/tests/target_probe_test.cc
@@ -42,6 +42,13 @@
   CHECK(fixture.client.last_id == 1);
 }
 
+// Guards against a probe response that is taken as the answer to a call, and the reverse.
+TEST_CASE("a probe has a connection of its own") {
+  probe_fixture fixture;
+  fixture.probe.Start("/healthz");
+  CHECK(fixture.client.last_request.own_connection);
+}
+
 // Guards against calls to a target that is unhealthy, has no id, or does not report its slots.
 TEST_CASE("probes are repeated for a short time after an unusable response") {
   struct response_case {
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -115,7 +115,9 @@
   const absl::Duration max_idle_time =
       at_most_once_ ? settings.max_idle_time_at_most_once : settings.max_idle_time;
   const long idle_seconds = absl::ToInt64Seconds(max_idle_time);
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, idle_seconds == 0 ? 1L : 0L);
+  const bool fresh = request_.own_connection || idle_seconds == 0;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request_.own_connection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, idle_seconds);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &curl_transfer::OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
@@ -126,7 +128,7 @@
 
 void curl_transfer::SetEchoMatched(bool matched) {
   echo_matched_ = matched;
-  if (request_.expected.echoed.name.empty()) return;
+  if (request_.own_connection || request_.expected.echoed.name.empty()) return;
   // After a response without the id, the one to this request may still follow on the connection.
   curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, matched ? 0L : 1L);
 }
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -288,4 +288,32 @@
   CHECK(server.connections() == 3);
 }
 
+// Guards against a stale response on the connection of a request whose response names no request,
+// such as a health probe.
+TEST_CASE("a request with a connection of its own shares it with no other request") {
+  raw_server server([](raw_socket& connection) {
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      connection.Write(NamedResponse(IdOf(request)));
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  const auto send_alone = [&] {
+    std::promise<http_outcome> promise;
+    http_request probe{"GET", "/health", {{"X-Id", "probe"}, {"X-End", "body"}}, ""};
+    probe.own_connection = true;
+    client->Send(server.address(), std::move(probe), false, kLongTimeout,
+                 [&](http_outcome done) { promise.set_value(std::move(done)); });
+    return promise.get_future().get();
+  };
+  CHECK(Summary(send_alone()) == "200 probe");
+  CHECK(Summary(SendNamed(*client, server.address(), "1")) == "200 1");
+  CHECK(server.connections() == 2);
+  CHECK(Summary(send_alone()) == "200 probe");
+  CHECK(server.connections() == 3);
+  CHECK(Summary(SendNamed(*client, server.address(), "2")) == "200 2");
+  CHECK(server.connections() == 3);
+}
+
 }  // namespace teaseljunction
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -31,6 +31,9 @@
   std::string remote_ip;
   /// Checks of the response; not used for received requests.
   expected_answer expected;
+  /// True if the request is sent on a new connection that no other request uses; not used for
+  /// received requests.
+  bool own_connection = false;
 };
 
 /// A complete HTTP response, to be sent or received.
