Use a kept connection only if nothing has arrived on it since its last response

What callers saw: after a target had sent bytes beyond a complete response, or an earlier response once more, before the next request was sent, that request failed (502 although it had run), or got those bytes as its answer if they named the same id (503). Fix: the socket of each new connection is recorded with its local port. Before a request is sent on a kept connection, the socket is checked for input; if there is any, nothing is sent, libcurl closes the connection, and the request starts again on a new one. Bytes that arrive later are covered by the echo.

--- a/src/http/curl_client.h
+++ b/src/http/curl_client.h
@@ -39,7 +39,8 @@
 /// handle with its own connection pool. No request is sent twice: automatic retries of libcurl are
 /// aborted and reported as kTargetFailed. A response whose end cannot be verified, with neither
 /// Content-Length nor chunked encoding, is kTargetFailed too, unless the request allows it.
-/// The connection of a response that lacks the expected echo is closed.
+/// The connection of a response that lacks the expected echo is closed, and so is a kept connection
+/// with unread input; the request is then sent on a new one.
 class curl_client : public http_client {
  public:
   /// Completes all running requests with kCancelled.
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -54,8 +54,10 @@
       [](const http_header& header) { return IsToken(header.name) && IsHeaderText(header.value); });
 }
 
-void curl_transfer::Prepare(curl_easy_handle easy, const curl_client_settings& settings) {
+void curl_transfer::Prepare(curl_easy_handle easy, const curl_client_settings& settings,
+                            connection_sockets& sockets) {
   easy_ = std::move(easy);
+  sockets_ = &sockets;
   curl_easy_reset(easy_.get());
   SetRequest();
   SetHeaders();
@@ -77,6 +79,8 @@
   }
   if (request_.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &curl_transfer::OnSocket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_transfer::OnBeforeSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
 }
@@ -115,7 +119,7 @@
   const absl::Duration max_idle_time =
       at_most_once_ ? settings.max_idle_time_at_most_once : settings.max_idle_time;
   const long idle_seconds = absl::ToInt64Seconds(max_idle_time);
-  const bool fresh = request_.own_connection || idle_seconds == 0;
+  const bool fresh = request_.own_connection || needs_new_connection_ || idle_seconds == 0;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request_.own_connection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, idle_seconds);
@@ -133,11 +137,30 @@
   curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, matched ? 0L : 1L);
 }
 
-int curl_transfer::OnBeforeSend(void* self, char*, char*, int, int) {
+int curl_transfer::OnSocket(void* self, curl_socket_t socket, curlsocktype) {
+  static_cast<curl_transfer*>(self)->new_socket_ = socket;
+  return CURL_SOCKOPT_OK;
+}
+
+int curl_transfer::OnBeforeSend(void* self, char*, char*, int, int local_port) {
   auto* transfer = static_cast<curl_transfer*>(self);
   // libcurl sends a request again if a reused connection closes without a response. The server may
   // have executed the first one, and the caller does not expect a second attempt.
-  return ++transfer->send_count_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  if (transfer->send_count_ > 0) return CURL_PREREQFUNC_ABORT;
+  if (!transfer->CheckConnection(local_port)) return CURL_PREREQFUNC_ABORT;
+  ++transfer->send_count_;
+  return CURL_PREREQFUNC_OK;
+}
+
+bool curl_transfer::CheckConnection(int local_port) {
+  if (IsConnectionNew()) {
+    sockets_->Add(address_, local_port, new_socket_);
+    return true;
+  }
+  // libcurl reuses a connection with unread bytes, and takes them as the response.
+  needs_new_connection_ = sockets_->HasInput(address_, local_port);
+  restart_ = needs_new_connection_;
+  return !needs_new_connection_;
 }
 
 size_t curl_transfer::OnHeader(char* data, size_t size, size_t count, void* self) {
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -6,11 +6,13 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "absl/functional/any_invocable.h"
 #include "absl/time/time.h"
 #include "common/result.h"
 #include "http/curl_client.h"
+#include "http/internal/connection_sockets.h"
 #include "http/types.h"
 
 namespace teaseljunction {
@@ -38,8 +40,14 @@
   /// Returns true if the request can be written as a valid HTTP message.
   bool IsWellFormed() const;
 
-  /// Configures `easy` for this request. Called on the worker's thread.
-  void Prepare(curl_easy_handle easy, const curl_client_settings& settings);
+  /// Configures `easy` for this request. Called on the worker's thread. `sockets` must outlive the
+  /// transfer.
+  void Prepare(curl_easy_handle easy, const curl_client_settings& settings,
+               connection_sockets& sockets);
+
+  /// Returns true once if nothing was sent because the kept connection is out of sync. The transfer
+  /// can then be prepared again and uses a new connection.
+  bool TakeRestart() { return std::exchange(restart_, false); }
 
   /// Runs the completion with the response, or with the error that corresponds to `code`.
   void Finish(CURLcode code);
@@ -51,8 +59,11 @@
  private:
   static size_t OnHeader(char* data, size_t size, size_t count, void* self);
   static size_t OnBody(char* data, size_t size, size_t count, void* self);
+  static int OnSocket(void* self, curl_socket_t socket, curlsocktype purpose);
   static int OnBeforeSend(void* self, char* peer, char* local, int peer_port, int local_port);
 
+  /// Returns true if the request may be sent on the connection with this local port.
+  bool CheckConnection(int local_port);
   void SetRequest();
   void SetHeaders();
   void SetLimits(const curl_client_settings& settings);
@@ -81,6 +92,11 @@
   size_t header_bytes_ = 0;
   /// Number of times that libcurl has started to send the request.
   int send_count_ = 0;
+  connection_sockets* sockets_ = nullptr;
+  /// Socket of the new connection that was opened for this transfer.
+  curl_socket_t new_socket_ = CURL_SOCKET_BAD;
+  bool restart_ = false;
+  bool needs_new_connection_ = false;
   bool response_too_large_ = false;
   bool framing_known_ = false;
   /// True if the echoed header shows that the response belongs to another request.
--- a/src/http/internal/transfer_set.cc
+++ b/src/http/internal/transfer_set.cc
@@ -30,11 +30,15 @@
     easy = std::move(idle_handles_.back());
     idle_handles_.pop_back();
   }
+  Launch(std::move(transfer), std::move(easy));
+}
+
+void transfer_set::Launch(std::unique_ptr<curl_transfer> transfer, curl_easy_handle easy) {
   if (easy == nullptr) {
     transfer->Fail(error_kind::kTargetUnreachable, "no handle");
     return;
   }
-  transfer->Prepare(std::move(easy), settings_);
+  transfer->Prepare(std::move(easy), settings_, sockets_);
   if (curl_multi_add_handle(multi_.get(), transfer->easy()) != CURLM_OK) {
     transfer->Fail(error_kind::kTargetUnreachable, "no handle");
     return;
@@ -56,8 +60,12 @@
     const CURLcode code = message->data.result;
     char* owner = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &owner);
-    const std::unique_ptr<curl_transfer> transfer =
-        Remove(reinterpret_cast<curl_transfer*>(owner)->id());
+    std::unique_ptr<curl_transfer> transfer = Remove(reinterpret_cast<curl_transfer*>(owner)->id());
+    if (transfer->TakeRestart()) {
+      curl_easy_handle easy = transfer->ReleaseHandle();
+      Launch(std::move(transfer), std::move(easy));
+      continue;
+    }
     transfer->Finish(code);
     Recycle(*transfer);
   }
--- a/src/http/internal/transfer_set.h
+++ b/src/http/internal/transfer_set.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "http/curl_client.h"
+#include "http/internal/connection_sockets.h"
 #include "http/internal/curl_transfer.h"
 
 namespace teaseljunction {
@@ -35,9 +36,12 @@
  private:
   // Removes a transfer from the multi handle. Returns null for unknown ids.
   std::unique_ptr<curl_transfer> Remove(uint64_t id);
+  // Sends the request of a transfer, or completes it with an error.
+  void Launch(std::unique_ptr<curl_transfer> transfer, curl_easy_handle easy);
   void Recycle(curl_transfer& transfer);
 
   const curl_client_settings settings_;
+  connection_sockets sockets_;
   const std::unique_ptr<CURLM, curl_multi_deleter> multi_;
   absl::flat_hash_map<uint64_t, std::unique_ptr<curl_transfer>> running_;
   std::vector<curl_easy_handle> idle_handles_;
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -316,4 +316,60 @@
   CHECK(server.connections() == 3);
 }
 
+// Guards against bytes after a complete response that are read as part of the next response, which
+// fails a request that has run, or are read as its answer.
+TEST_CASE("bytes after a complete response end the connection") {
+  struct response_case {
+    std::string name;
+    std::string method;
+    std::string head;
+    std::string body;
+  };
+  struct excess_case {
+    std::string with_response;
+    std::string later;
+  };
+  const std::vector<response_case> responses = {
+      {"body with a length", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n", "x"},
+      {"chunked body", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+       "1\r\nx\r\n0\r\n\r\n"},
+      {"body without bytes", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", ""},
+      {"status without a body", "POST", "HTTP/1.1 204 None\r\n", ""},
+      {"response to HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", ""},
+  };
+  const std::vector<excess_case> excesses = {
+      {NamedResponse("1", 503), ""},
+      {"", NamedResponse("1", 503)},
+      {"garbage", ""},
+      {"", "garbage"},
+      {NamedResponse("2", 503), ""},
+      {"", NamedResponse("2", 503)},
+      {"HTTP/1.1 503 Sta", "tus\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"},
+  };
+  const auto client = Builder().Threads(1).Build();
+  for (const response_case& response : responses) {
+    for (const excess_case& excess : excesses) {
+      INFO(response.name << ", with it: " << excess.with_response << ", later: " << excess.later);
+      absl::Notification received;
+      absl::Notification sent;
+      raw_server server([&](raw_socket& connection) {
+        const std::string request = connection.ReadUntil("body");
+        if (IdOf(request) != "1") return connection.Write(NamedResponse("2"));
+        connection.Write(
+            absl::StrCat(response.head, "X-Id: 1\r\n\r\n", response.body, excess.with_response));
+        received.WaitForNotification();
+        connection.Write(excess.later);
+        sent.Notify();
+        if (absl::StrContains(connection.ReadUntil("body"), "X-Id: 2")) {
+          connection.Write(NamedResponse("2"));
+        }
+      });
+      CHECK(SendNamed(*client, server.address(), "1", {}, response.method).index() == 0);
+      received.Notify();
+      sent.WaitForNotification();
+      CHECK(Summary(SendNamed(*client, server.address(), "2")) == "200 2");
+    }
+  }
+}
+
 }  // namespace teaseljunction
