Count only refusals that the interface defines as not run

What callers saw: possible, not reported: a 421 that is an application's own answer, or a 2xx response that bears the not-run header, was answered 503 "not run", or the request was sent to a second target. Cause: ToTargetResult looked at the header whatever the status, and at 421 whether or not the request names its process. Fix: the header counts with statuses from 400, and 421 only if requests name their target's process.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -13,6 +13,7 @@
 
 // Misdirected Request: the response of a process that is not the one the request was meant for.
 constexpr int kMisdirectedRequestStatus = 421;
+constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerErrorStatus = 500;
 // Maximum delay of an announcement that was sent before the process crashed.
 constexpr absl::Duration kMaxAnnouncementDelay = absl::Milliseconds(200);
@@ -59,8 +60,12 @@
     return target_result::kFailed;
   }
   const http_response& received = std::get<http_response>(response);
-  const bool refused = received.status == kMisdirectedRequestStatus ||
-                       FindHeader(received.headers, header_names.not_run).has_value();
+  // Without the id of a process in the request, 421 is an answer of the application.
+  const bool misdirected =
+      received.status == kMisdirectedRequestStatus && !header_names.target_id.empty();
+  const bool shed = received.status >= kFirstErrorStatus &&
+                    FindHeader(received.headers, header_names.not_run).has_value();
+  const bool refused = misdirected || shed;
   return refused ? target_result::kShed : target_result::kAnswered;
 }
 
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/entry_call.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "gateway/tests/mocks/fake_dependencies.h"
 #include "gateway/tests/mocks/sample_manifest.h"
@@ -102,6 +103,25 @@
   }
 }
 
+// Guards against a second attempt with the same request id at the same target, where a stale
+// refusal of the first one would be taken as its response.
+TEST_CASE("attempts of one call go to different daemons") {
+  for (int i = 0; i < kErrorKindCount; ++i) {
+    const auto kind = static_cast<error_kind>(i);
+    INFO(std::string(AnswerFor(kind).name));
+    entry_fixture fixture;
+    const auto exchange = fixture.Send({"GET", "/stock/1", {}, ""});
+    for (size_t attempt = 1; exchange->responses == 0; ++attempt) {
+      REQUIRE(fixture.peers.attempts.size() == attempt);
+      fixture.peers.FailLast(kind);
+      fixture.time.AdvanceBy(absl::Seconds(1));
+    }
+    std::set<std::string> addresses;
+    for (const auto& attempt : fixture.peers.attempts) addresses.insert(attempt.address);
+    CHECK(addresses.size() == fixture.peers.attempts.size());
+  }
+}
+
 // Guards against running a repeated order twice, whatever the state of the first one.
 TEST_CASE("a repeated order gets the recorded response or is refused") {
   entry_fixture fixture;
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -132,6 +132,31 @@
   CHECK(values.size() == 3);
 }
 
+// Guards against "not run" for a response that does not clearly say so.
+TEST_CASE("only a refusal that the interface defines counts as not run") {
+  struct response_case {
+    int status;
+    bool has_mark;
+    bool names_target;
+    const char* expected;
+  };
+  const std::vector<response_case> cases = {
+      {503, true, false, "target-shed"}, {429, true, true, "target-shed"},
+      {421, false, true, "target-shed"}, {421, false, false, "421 "},
+      {503, false, false, "503 "},       {200, true, false, "200 "},
+  };
+  for (const response_case& row : cases) {
+    INFO(row.status << ", mark " << row.has_mark << ", target named " << row.names_target);
+    executor_fixture fixture;
+    if (row.names_target) fixture.headers.target_id = "X-Target";
+    fixture.Send("f");
+    http_response response{row.status, {}, ""};
+    if (row.has_mark) response.headers.push_back({fixture.headers.not_run, "true"});
+    fixture.client.End(fixture.client.last_id, std::move(response));
+    CHECK(Summary(fixture.results.back()) == row.expected);
+  }
+}
+
 // Guards against accepting responses without an id from targets that always repeat the caller's.
 TEST_CASE("targets that repeat the caller's request id must do so in every response") {
   executor_fixture fixture;
