--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -54,8 +54,10 @@
       [](const http_header& header) { return IsToken(header.name) && IsHeaderText(header.value); });
 }
 
-void curl_transfer::Prepare(curl_easy_handle easy, const curl_client_settings& settings) {
+void curl_transfer::Prepare(curl_easy_handle easy, const curl_client_settings& settings,
+                            connection_sockets& sockets) {
   easy_ = std::move(easy);
+  sockets_ = &sockets;
   curl_easy_reset(easy_.get());
   SetRequest();
   SetHeaders();
@@ -77,6 +79,8 @@
   }
   if (request_.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &curl_transfer::OnSocket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &curl_transfer::OnBeforeSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
 }
@@ -115,19 +119,48 @@
   const absl::Duration max_idle_time =
       at_most_once_ ? settings.max_idle_time_at_most_once : settings.max_idle_time;
   const long idle_seconds = absl::ToInt64Seconds(max_idle_time);
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, idle_seconds == 0 ? 1L : 0L);
+  const bool fresh = request_.own_connection || needs_new_connection_ || idle_seconds == 0;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request_.own_connection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, idle_seconds);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &curl_transfer::OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &curl_transfer::OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+  SetEchoMatched(false);
 }
 
-int curl_transfer::OnBeforeSend(void* self, char*, char*, int, int) {
+void curl_transfer::SetEchoMatched(bool matched) {
+  echo_matched_ = matched;
+  if (request_.own_connection || request_.expected.echoed.name.empty()) return;
+  // After a response without the id, the one to this request may still follow on the connection.
+  curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, matched ? 0L : 1L);
+}
+
+int curl_transfer::OnSocket(void* self, curl_socket_t socket, curlsocktype) {
+  static_cast<curl_transfer*>(self)->new_socket_ = socket;
+  return CURL_SOCKOPT_OK;
+}
+
+int curl_transfer::OnBeforeSend(void* self, char*, char*, int, int local_port) {
   auto* transfer = static_cast<curl_transfer*>(self);
   // libcurl sends a request again if a reused connection closes without a response. The server may
   // have executed the first one, and the caller does not expect a second attempt.
-  return ++transfer->send_count_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  if (transfer->send_count_ > 0) return CURL_PREREQFUNC_ABORT;
+  if (!transfer->CheckConnection(local_port)) return CURL_PREREQFUNC_ABORT;
+  ++transfer->send_count_;
+  return CURL_PREREQFUNC_OK;
+}
+
+bool curl_transfer::CheckConnection(int local_port) {
+  if (IsConnectionNew()) {
+    sockets_->Add(address_, local_port, new_socket_);
+    return true;
+  }
+  // libcurl reuses a connection with unread bytes, and takes them as the response.
+  needs_new_connection_ = sockets_->HasInput(address_, local_port);
+  restart_ = needs_new_connection_;
+  return !needs_new_connection_;
 }
 
 size_t curl_transfer::OnHeader(char* data, size_t size, size_t count, void* self) {
@@ -145,7 +178,7 @@
     // Discard the headers of an interim (1xx) response.
     response_.headers.clear();
     framing_known_ = false;
-    echo_matched_ = false;
+    SetEchoMatched(false);
     return true;
   }
   const size_t colon = line.find(':');
@@ -167,7 +200,7 @@
     echo_mismatch_ = value != echo.value;
     // Requests and responses on the connection are out of sync; the error makes libcurl close it.
     if (echo_mismatch_) return false;
-    echo_matched_ = true;
+    SetEchoMatched(true);
   }
   const bool keep = request_.method == "HEAD" && absl::EqualsIgnoreCase(name, "Content-Length");
   if (keep || !IsTransferHeader(name)) {
@@ -190,8 +223,10 @@
 
 absl::string_view curl_transfer::MismatchDetail() const {
   const expected_answer& expected = request_.expected;
-  if (!expected.echoed.name.empty() && !echo_matched_)
+  if (!expected.echoed.name.empty() && !echo_matched_ &&
+      !(expected.echo_optional && IsConnectionNew())) {
     return "the response does not name its request";
+  }
   const bool success =
       response_.status >= kMinSuccessStatus && response_.status < kMinRedirectStatus;
   if (success && !expected.present.empty() && !FindHeader(response_.headers, expected.present)) {
@@ -200,6 +235,12 @@
   return "";
 }
 
+bool curl_transfer::IsConnectionNew() const {
+  long connection_count = 0;
+  curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connection_count);
+  return connection_count > 0;
+}
+
 bool curl_transfer::IsBodyEndKnown() const {
   return framing_known_ || request_.expected.may_end_with_connection || request_.method == "HEAD" ||
          response_.status == 204 || response_.status == 304;
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -48,6 +48,37 @@
   return absl::StrCat("HTTP/1.1 200 OK\r\n", headers, "\r\n", body);
 }
 
+/// Sends a request that is idempotent and identified by `id`, which its server must repeat.
+http_outcome SendNamed(http_client& client, const std::string& address, const std::string& id,
+                       expected_answer expected = {}, const std::string& method = "POST") {
+  std::promise<http_outcome> promise;
+  http_request request{method, "/", {{"X-Id", id}, {"X-End", "body"}}, ""};
+  if (method == "POST") request.body = "body";
+  expected.echoed = {"X-Id", id};
+  request.expected = std::move(expected);
+  client.Send(address, std::move(request), false, kLongTimeout,
+              [&](http_outcome done) { promise.set_value(std::move(done)); });
+  return promise.get_future().get();
+}
+
+/// Returns the value of X-Id in the text of a request.
+std::string IdOf(absl::string_view request) {
+  constexpr absl::string_view name = "X-Id: ";
+  const size_t begin = request.find(name) + name.size();
+  return std::string(request.substr(begin, request.find('\r', begin) - begin));
+}
+
+std::string NamedResponse(absl::string_view id, int status = 200) {
+  return absl::StrCat("HTTP/1.1 ", status, " Status\r\nX-Id: ", id,
+                      "\r\nContent-Length: ", id.size(), "\r\n\r\n", id);
+}
+
+/// Returns the status and body of a response, or the kind of an error.
+std::string Summary(const http_outcome& done) {
+  if (done.index() == 1) return std::string(AnswerFor(std::get<1>(done).kind).name);
+  return absl::StrCat(std::get<0>(done).status, " ", std::get<0>(done).body);
+}
+
 struct response_fault_case {
   std::string name;
   std::string reply;
@@ -183,4 +214,162 @@
   }
 }
 
+// Guards against a late response that is read as the answer to the next request, because the
+// connection of a response without an id was kept.
+TEST_CASE("a response that does not name its request ends its connection") {
+  std::atomic<bool> named = false;
+  raw_server server([&](raw_socket& connection) {
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      const std::string id = IdOf(request);
+      connection.Write(named ? NamedResponse(id) : Response("Content-Length: 0\r\n", ""));
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  CHECK(Summary(SendNamed(*client, server.address(), "1")) == "target-failed");
+  named = true;
+  CHECK(Summary(SendNamed(*client, server.address(), "2")) == "200 2");
+  CHECK(server.connections() == 2);
+  CHECK(Summary(SendNamed(*client, server.address(), "3")) == "200 3");
+  CHECK(server.connections() == 2);
+}
+
+// Guards against a stale response on a kept connection that is taken as the answer to the next
+// request, which has run or is running.
+TEST_CASE("an earlier refusal that is sent once more is not the answer to the next request") {
+  const bool named = GENERATE(true, false);
+  raw_server server([named](raw_socket& connection) {
+    std::string first_response;
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      const std::string id = IdOf(request);
+      connection.Write(first_response);
+      const std::string response =
+          absl::StrCat("HTTP/1.1 503 Status\r\n", named ? absl::StrCat("X-Id: ", id, "\r\n") : "",
+                       "Content-Length: ", id.size(), "\r\n\r\n", id);
+      if (first_response.empty()) first_response = response;
+      connection.Write(response);
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  const expected_answer expected = {.echo_optional = true};
+  CHECK(Summary(SendNamed(*client, server.address(), "1", expected)) == "503 1");
+  CHECK(Summary(SendNamed(*client, server.address(), "2", expected)) ==
+        (named ? "target-failed" : "503 2"));
+  CHECK(Summary(SendNamed(*client, server.address(), "3", expected)) == "503 3");
+  CHECK(server.connections() == (named ? 2 : 3));
+}
+
+// Guards against taking a response without an id on a kept connection as the answer, and against
+// failing targets that never repeat the id.
+TEST_CASE("a response without an id is accepted only on a new connection, which is not kept") {
+  std::atomic<bool> named = true;
+  raw_server server([&](raw_socket& connection) {
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      connection.Write(named ? NamedResponse(IdOf(request))
+                             : Response("Content-Length: 4\r\n", "none"));
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  const expected_answer expected = {.echo_optional = true};
+  CHECK(Summary(SendNamed(*client, server.address(), "1", expected)) == "200 1");
+  named = false;
+  CHECK(Summary(SendNamed(*client, server.address(), "2", expected)) == "target-failed");
+  CHECK(server.connections() == 1);
+  CHECK(Summary(SendNamed(*client, server.address(), "3", expected)) == "200 none");
+  CHECK(server.connections() == 2);
+  named = true;
+  CHECK(Summary(SendNamed(*client, server.address(), "4", expected)) == "200 4");
+  CHECK(Summary(SendNamed(*client, server.address(), "5", expected)) == "200 5");
+  CHECK(server.connections() == 3);
+}
+
+// Guards against a stale response on the connection of a request whose response names no request,
+// such as a health probe.
+TEST_CASE("a request with a connection of its own shares it with no other request") {
+  raw_server server([](raw_socket& connection) {
+    while (true) {
+      const std::string request = connection.ReadUntil("body");
+      if (request.empty()) return;
+      connection.Write(NamedResponse(IdOf(request)));
+    }
+  });
+  const auto client = Builder().Threads(1).Build();
+  const auto send_alone = [&] {
+    std::promise<http_outcome> promise;
+    http_request probe{"GET", "/health", {{"X-Id", "probe"}, {"X-End", "body"}}, ""};
+    probe.own_connection = true;
+    client->Send(server.address(), std::move(probe), false, kLongTimeout,
+                 [&](http_outcome done) { promise.set_value(std::move(done)); });
+    return promise.get_future().get();
+  };
+  CHECK(Summary(send_alone()) == "200 probe");
+  CHECK(Summary(SendNamed(*client, server.address(), "1")) == "200 1");
+  CHECK(server.connections() == 2);
+  CHECK(Summary(send_alone()) == "200 probe");
+  CHECK(server.connections() == 3);
+  CHECK(Summary(SendNamed(*client, server.address(), "2")) == "200 2");
+  CHECK(server.connections() == 3);
+}
+
+// Guards against bytes after a complete response that are read as part of the next response, which
+// fails a request that has run, or are read as its answer.
+TEST_CASE("bytes after a complete response end the connection") {
+  struct response_case {
+    std::string name;
+    std::string method;
+    std::string head;
+    std::string body;
+  };
+  struct excess_case {
+    std::string with_response;
+    std::string later;
+  };
+  const std::vector<response_case> responses = {
+      {"body with a length", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n", "x"},
+      {"chunked body", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+       "1\r\nx\r\n0\r\n\r\n"},
+      {"body without bytes", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", ""},
+      {"status without a body", "POST", "HTTP/1.1 204 None\r\n", ""},
+      {"response to HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", ""},
+  };
+  const std::vector<excess_case> excesses = {
+      {NamedResponse("1", 503), ""},
+      {"", NamedResponse("1", 503)},
+      {"garbage", ""},
+      {"", "garbage"},
+      {NamedResponse("2", 503), ""},
+      {"", NamedResponse("2", 503)},
+      {"HTTP/1.1 503 Sta", "tus\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"},
+  };
+  const auto client = Builder().Threads(1).Build();
+  for (const response_case& response : responses) {
+    for (const excess_case& excess : excesses) {
+      INFO(response.name << ", with it: " << excess.with_response << ", later: " << excess.later);
+      absl::Notification received;
+      absl::Notification sent;
+      raw_server server([&](raw_socket& connection) {
+        const std::string request = connection.ReadUntil("body");
+        if (IdOf(request) != "1") return connection.Write(NamedResponse("2"));
+        connection.Write(
+            absl::StrCat(response.head, "X-Id: 1\r\n\r\n", response.body, excess.with_response));
+        received.WaitForNotification();
+        connection.Write(excess.later);
+        sent.Notify();
+        if (absl::StrContains(connection.ReadUntil("body"), "X-Id: 2")) {
+          connection.Write(NamedResponse("2"));
+        }
+      });
+      CHECK(SendNamed(*client, server.address(), "1", {}, response.method).index() == 0);
+      received.Notify();
+      sent.WaitForNotification();
+      CHECK(Summary(SendNamed(*client, server.address(), "2")) == "200 2");
+    }
+  }
+}
+
 }  // namespace teaseljunction
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -11,6 +11,9 @@
 struct expected_answer {
   /// Request header that the server must repeat in the response; not checked if its name is empty.
   http_header echoed;
+  /// True if the first response of a new connection may lack the echoed header. Its connection is
+  /// then closed. False if every response must have the header.
+  bool echo_optional = false;
   /// Name of a header that 2xx responses must have; not checked if it is empty.
   std::string present;
   /// True if the end of a response without a length may be the end of its connection.
@@ -28,6 +31,9 @@
   std::string remote_ip;
   /// Checks of the response; not used for received requests.
   expected_answer expected;
+  /// True if the request is sent on a new connection that no other request uses; not used for
+  /// received requests.
+  bool own_connection = false;
 };
 
 /// A complete HTTP response, to be sent or received.
