Reject responses with an unusable or ambiguous length

Cause: libcurl reads the number at the start of Content-Length ("3x", "3, 5" give 3), uses the last of several values, and ignores a number that is out of range, after which the body ends with the connection. "Transfer-Encoding: identity" was taken as framing although the body then ends with the connection. Bodies that were cut off, or read up to a wrong length, were passed on as complete, even for requests whose response may not end with its connection.

The client now requires a Content-Length that is a number as a whole and the same in all of its occurrences, and takes Transfer-Encoding as framing only if the last coding is chunked.

--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -147,6 +147,7 @@
     framing_known_ = false;
     echo_matched_ = false;
     head_complete_ = false;
+    length_ = absl::nullopt;
     return true;
   }
   if (line == "\r\n" || line == "\n") {
@@ -158,15 +159,22 @@
   const absl::string_view name = line.substr(0, colon);
   const absl::string_view value = absl::StripAsciiWhitespace(line.substr(colon + 1));
   if (absl::EqualsIgnoreCase(name, "Content-Length")) {
-    framing_known_ = true;
     uint64_t length = 0;
-    if (request_.method != "HEAD" && absl::SimpleAtoi(value, &length)) {
+    // libcurl reads the number at the start of the value, and ignores one that is out of range.
+    length_usable_ = absl::SimpleAtoi(value, &length) && (!length_ || *length_ == length);
+    if (!length_usable_) return false;
+    length_ = length;
+    framing_known_ = true;
+    if (request_.method != "HEAD") {
       response_too_large_ = length > max_response_bytes_;
       if (response_too_large_) return false;
       response_.body.reserve(length);
     }
   }
-  if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) framing_known_ = true;
+  if (absl::EqualsIgnoreCase(name, "Transfer-Encoding") &&
+      absl::EndsWithIgnoreCase(value, "chunked")) {
+    framing_known_ = true;
+  }
   const http_header& echo = request_.expected.echoed;
   if (!echo.name.empty() && absl::EqualsIgnoreCase(name, echo.name)) {
     echo_mismatch_ = value != echo.value;
@@ -244,6 +252,7 @@
   if (response_too_large_) return {error_kind::kAnswerTooLarge, ""};
   if (send_count_ == 0) return {error_kind::kTargetUnreachable, detail};
   if (code == CURLE_OPERATION_TIMEDOUT) return {error_kind::kDeadlineExceeded, ""};
+  if (!length_usable_) detail = "the length of the response is not usable";
   if (echo_mismatch_) detail = "the response belongs to another request";
   if (code == CURLE_ABORTED_BY_CALLBACK) detail = "a kept connection ended without a response";
   return {error_kind::kTargetFailed, detail};
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -9,6 +9,7 @@
 
 #include "absl/functional/any_invocable.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "common/result.h"
 #include "http/curl_client.h"
 #include "http/types.h"
@@ -79,6 +80,9 @@
   int send_count_ = 0;
   bool response_too_large_ = false;
   bool framing_known_ = false;
+  /// Content-Length of the current head.
+  absl::optional<uint64_t> length_;
+  bool length_usable_ = true;
   /// True if the empty line after the last head has been received.
   bool head_complete_ = false;
   /// True if the echoed header shows that the response belongs to another request.
--- a/src/http/tests/faulty_server_test.cc
+++ b/src/http/tests/faulty_server_test.cc
@@ -45,6 +45,10 @@
   return absl::StrCat(std::get<0>(done).status, " with ", std::get<0>(done).body.size(), " bytes");
 }
 
+bool MayHaveRun(const http_outcome& done) {
+  return done.index() == 1 && AnswerFor(std::get<1>(done).kind).run == run_state::kMayHaveRun;
+}
+
 struct answer_case {
   std::string name;
   std::string method;
@@ -218,4 +222,28 @@
   }
 }
 
+// Guards against a cut body that is taken as complete because its length is dropped or misread.
+TEST_CASE("a body with an unusable length is not complete") {
+  const auto client = Builder().Build();
+  for (const char* headers :
+       {"Content-Length: 99999999999999999999999\r\n", "Content-Length: -1\r\n",
+        "Content-Length: \r\n", "Content-Length: x\r\n", "Content-Length: 3x\r\n",
+        "Content-Length: 3, 5\r\n", "Content-Length: 5\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 5\r\n", "Transfer-Encoding: x\r\n",
+        "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n"}) {
+    for (const bool may_end : {false, true}) {
+      INFO(headers << "may end " << may_end);
+      // "identity" does not change the body, which ends with the connection.
+      if (may_end && absl::StrContains(headers, "identity")) continue;
+      raw_server server([&](raw_socket& connection) {
+        connection.ReadUntil("\r\n\r\n");
+        connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, headers, "\r\nabc"));
+      });
+      const answer_case tested = {"", "GET", "", true};
+      CHECK(MayHaveRun(
+          SendAsync(*client, server.address(), RequestFor(tested, 1, true, may_end)).get()));
+    }
+  }
+}
+
 }  // namespace teaseljunction
