--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -368,7 +368,10 @@
       absl::Notification sent;
       raw_server server([&](raw_socket& connection) {
         const std::string request = connection.ReadUntil("body");
-        if (IdOf(request) != "1") return connection.Write(NamedResponse("2"));
+        if (IdOf(request) != "1") {
+          connection.Write(NamedResponse("2"));
+          return;
+        }
         connection.Write(
             absl::StrCat(response.head, "X-Id: 1\r\n\r\n", response.body, excess.with_response));
         received.WaitForNotification();
--- a/src/http/tests/faulty_server_test.cc
+++ b/src/http/tests/faulty_server_test.cc
@@ -87,7 +87,10 @@
 
 http_request RequestFor(const answer_case& tested, size_t length, bool with_marks, bool may_end) {
   http_request request{tested.method, absl::StrCat("/", length), {{"X-Request-Id", "r1"}}, ""};
-  if (with_marks) request.expected = {{"X-Request-Id", "r1"}, "X-Server-Signature", false};
+  if (with_marks) {
+    request.expected.echoed = {"X-Request-Id", "r1"};
+    request.expected.present = "X-Server-Signature";
+  }
   request.expected.may_end_with_connection = may_end;
   return request;
 }
