Refuse requests to open routes when a stopping daemon's target is idle

What callers saw: on the platform, routes that need no key count as child calls, so requests of callers to them were still accepted up to 200 ms before the end of a stop, also when no call ran at the target.

Cause: once callers are refused, whatever has a depth is accepted as a child call, and nothing ended that when the last possible parent had ended.

The daemon now refuses everything once the wait for its target is over.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -333,7 +333,7 @@
   // child calls to it.
   bool finished = WaitUntilIdle(deadline);
   LogDrainStep(finished ? "target is idle" : "target is still busy");
-  if (!finished) executor_->RefuseQueuedCalls();
+  entry_->StopAccepting();
   finished = entry_server_->Drain(deadline - clock_.Now()) && finished;
   LogDrainStep("server for callers stopped");
   finished = pending_work_.WaitUntilIdle(deadline - clock_.Now()) && finished;
--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -35,7 +35,11 @@
   "routes": [{"name": "near", "method": "GET", "path": "/near/*", "service": "near",
               "idempotent": true, "open": true, "timeoutMs": 60000},
              {"name": "far", "method": "GET", "path": "/far/*", "service": "far",
-              "idempotent": true, "open": true, "timeoutMs": 60000}]})";
+              "idempotent": true, "open": true, "timeoutMs": 60000},
+             {"name": "order", "method": "POST", "path": "/order/*", "service": "far",
+              "idempotent": false, "open": true, "timeoutMs": 60000}]})";
+constexpr absl::string_view kOrder =
+    "POST /order/held HTTP/1.1\r\nHost: test\r\nIdempotency-Key: one\r\nContent-Length: 0\r\n\r\n";
 
 bool WaitUntil(const std::function<bool()>& condition) {
   const absl::Time limit = absl::Now() + kWaitLimit;
@@ -153,11 +157,11 @@
 
 // One host: a daemon with its target.
 struct host {
-  explicit host(daemon_settings used) : settings(std::move(used)) {
+  host(daemon_settings used, manifest_decoder decode) : settings(std::move(used)) {
     target_server =
         http_server_builder().Address("127.0.0.1:0").Threads(1).Handler(&target).Build();
     target_address = absl::StrCat("127.0.0.1:", Require(target_server->Start()));
-    daemon = Require(daemon_builder().WithSettings(settings).Build());
+    daemon = Require(daemon_builder().WithSettings(settings).WithDecoder(decode).Build());
     daemon->Start();
   }
 
@@ -201,11 +205,19 @@
   std::unique_ptr<daemon_process> daemon;
 };
 
+// Decodes a manifest whose open routes are meant for child calls, which have no context token.
+result<manifest> DecodeWithInternalRoutes(absl::string_view text) {
+  BOOST_LEAF_AUTO(decoded, DecodeManifest(text));
+  for (route& listed : decoded.routes) listed.internal = listed.idempotent;
+  return decoded;
+}
+
 // Two hosts with a target each, named after the service of their target. The near daemon is stopped
 // by the tests; the far daemon is the control group and stays.
 class planned_stop_fixture {
  public:
-  explicit planned_stop_fixture(absl::Duration drain_delay)
+  explicit planned_stop_fixture(absl::Duration drain_delay,
+                                manifest_decoder decode = &DecodeManifest)
       : data_directory_(std::filesystem::temp_directory_path() /
                         absl::StrCat("planned-stop-test-", getpid())) {
     std::filesystem::remove_all(data_directory_);
@@ -215,8 +227,8 @@
     far_settings.control_peers = {far_settings.rpc_listen};
     daemon_settings near_settings = SettingsFor("near", drain_delay);
     near_settings.control_peers = far_settings.control_peers;
-    far = std::make_unique<host>(std::move(far_settings));
-    near = std::make_unique<host>(std::move(near_settings));
+    far = std::make_unique<host>(std::move(far_settings), decode);
+    near = std::make_unique<host>(std::move(near_settings), decode);
     near->AnnounceTarget();
     far->AnnounceTarget();
     SubmitManifest();
@@ -413,4 +425,17 @@
   CHECK(running.get().status == 200);
 }
 
+// Guards against callers of open routes that are taken for child calls until the stop ends.
+TEST_CASE("an open route is refused after the drain delay when no call runs at the target") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200), &DecodeWithInternalRoutes);
+  const raw_socket kept = raw_socket::Connect(PortOf(fixture.near->settings.listen));
+  REQUIRE(Exchange(kept, "/far/quick").status == 200);
+  fixture.near->daemon->RequestStop();
+  while (fixture.near->Get("/far/quick").status == 200) absl::SleepFor(kRequestInterval);
+  const caller_answer refused = Exchange(kept, "/far/late");
+  INFO(refused.text);
+  CHECK(refused.IsDrainingRefusal());
+  CHECK_FALSE(fixture.far->target.HasReceived("/far/late"));
+}
+
 }  // namespace teaseljunction
--- a/src/gateway/entry_request_handler.h
+++ b/src/gateway/entry_request_handler.h
@@ -32,6 +32,10 @@
   /// `child_call_deadline`.
   void StopAcceptingCallers(absl::Time child_call_deadline);
 
+  /// Refuses all further requests with kDraining. Meant for the time when no call runs at the local
+  /// target any more, because callers of open routes cannot be told from child calls.
+  void StopAccepting();
+
  private:
   // Refuses the call, or limits its deadline, once callers are no longer accepted.
   result<void> ApplyDrain(resolved_call& resolved, absl::Time now);
--- a/src/gateway/internal/entry_request_handler.cc
+++ b/src/gateway/internal/entry_request_handler.cc
@@ -63,6 +63,8 @@
   child_call_deadline_ = child_call_deadline;
 }
 
+void entry_request_handler::StopAccepting() { StopAcceptingCallers(absl::InfinitePast()); }
+
 result<void> entry_request_handler::ApplyDrain(resolved_call& resolved, absl::Time now) {
   absl::MutexLock lock(&mutex_);
   if (!child_call_deadline_) return {};
