Refuse the queued calls of a stopping daemon when it stops accepting

Calls that waited for a slot of a busy target when the drain delay ended were started until the end of the stop, and the last of them were cut at once (found by the review, by reading). They were refused only when the drain timeout had passed, which left no time for another attempt.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -181,14 +181,10 @@
 }
 
 void target_executor::StopAccepting() {
-  absl::MutexLock lock(&mutex_);
-  accepting_ = false;
-}
-
-void target_executor::RefuseQueuedCalls() {
   deferred_work work;
   {
     absl::MutexLock lock(&mutex_);
+    accepting_ = false;
     const absl::Time now = deps_.clock.Now();
     absl::erase_if(tasks_, [&](const auto& entry) {
       // A call that is about to start has already left the queue.
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -67,12 +67,9 @@
   /// Returns false when the target is not accepted.
   bool AcceptProbedTarget(const target_announcement& probed);
 
-  /// Refuses all further calls with kDraining. Running and queued calls continue.
+  /// Refuses the queued calls and all further calls with kDraining. Running calls continue.
   void StopAccepting();
 
-  /// Refuses the queued calls with kDraining. Running calls continue.
-  void RefuseQueuedCalls();
-
   /// Runs a call and invokes `done` exactly once, possibly before this function returns. The
   /// returned handle cancels the call.
   std::shared_ptr<call_execution> Execute(call request, completion done);
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -298,7 +298,7 @@
   REQUIRE(busy.running > 0);
   REQUIRE(busy.queued > 0);
   REQUIRE(fixture.results.empty());
-  fixture.executor.RefuseQueuedCalls();
+  fixture.executor.StopAccepting();
   CHECK(fixture.results.size() == busy.queued);
   CHECK(fixture.LastFailure() == error_kind::kDraining);
   CHECK(fixture.executor.Status().queued == 0);
