Wait for the outcome of claimed orders during a planned stop

What callers saw: an order whose caller had left ran at its target, but its outcome was not recorded when the daemon that held its claim stopped meanwhile. Its repeat was refused as in progress (409) for as long as claims are kept, 24 h.

Cause: a claimed call goes on when its caller disconnects, but then nothing counted it: its connection is closed, and pending work counted only from the proposal of the outcome on.

A claimed call counts as pending work from its claim to its end.

--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -438,4 +438,26 @@
   CHECK_FALSE(fixture.far->target.HasReceived("/far/late"));
 }
 
+// Guards against an order whose repeat is refused as in progress, because the daemon that holds its
+// claim stopped before its outcome was known.
+TEST_CASE("a stop waits for the outcome of an order whose caller has left") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200));
+  {
+    const raw_socket caller = raw_socket::Connect(PortOf(fixture.near->settings.listen));
+    caller.Write(kOrder);
+    REQUIRE(WaitUntil([&] { return fixture.far->target.HasReceived("/order/held"); }));
+  }
+  // The daemon has noticed the disconnect when its connection is closed.
+  fixture.near->daemon->RequestStop();
+  while (fixture.near->Get("/far/quick").status != 0) absl::SleepFor(kRequestInterval);
+  // Without an open connection the stop takes less than this time unless it waits for the order.
+  for (int i = 0; i < 20 && !fixture.HasStopped(); ++i) absl::SleepFor(kRequestInterval);
+  CHECK_FALSE(fixture.HasStopped());
+  fixture.Release();
+  REQUIRE(WaitUntil([&] { return fixture.HasStopped(); }));
+  const raw_socket repeat = raw_socket::Connect(PortOf(fixture.far->settings.listen));
+  repeat.Write(kOrder);
+  CHECK(absl::StrContains(repeat.ReadUntil("}"), " 200 "));
+}
+
 }  // namespace teaseljunction
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -117,6 +117,8 @@
     absl::MutexLock lock(&mutex_);
     claim_held_ = true;
   }
+  // Until `Finish`, also when the caller has disconnected: only this daemon can record the outcome.
+  deps_.pending.Begin();
   Dispatch();
 }
 
@@ -284,6 +286,7 @@
 }
 
 void entry_call::Finish(http_response response) {
+  if (claim_held_) deps_.pending.End();
   if (resolved_.parent != nullptr) {
     resolved_.parent->ReturnUnusedAttempts(resolved_.parent_allocation_id, budget_.Remaining());
   }
