Keep calls in flight when their target announces itself again after its lease

Requests at work at a target whose announcements were late or lost for the length of its lease were reported as crashes of that target, and were no longer counted: the next announcement of the same process was taken for a new process. Every call in flight became a crash report, the count of running calls was set to 0, so that twice as many calls could run, and a planned stop that began then closed the listener for child calls while the target was still at work.

The executor now asks the lease whether the announcing process is the latest one that it knows. The announcement still counts as kJoined, so that the directory is updated at once.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -93,18 +93,21 @@
   {
     absl::MutexLock lock(&mutex_);
     const absl::Time now = deps_.clock.Now();
+    // Announcements can also be late or lost while the process and its calls go on.
+    const bool same_process = lease_.IsLatestIncarnation(announced.incarnation);
     processed = lease_.Announce(announced, now);
-    if (processed == announce_result::kRenewed) {
+    const bool joined =
+        processed == announce_result::kReplaced || processed == announce_result::kJoined;
+    if (processed == announce_result::kRenewed || (joined && same_process)) {
       // The process is still running, so these calls lost their connection for another reason.
       ClearSuspectedLosses(now - kMaxAnnouncementDelay, now);
-    }
-    if (processed == announce_result::kReplaced || processed == announce_result::kJoined) {
+    } else if (joined) {
       HandleTargetLoss(now);
+      admission_.ResetForColdTarget(now);
     }
-    if (processed == announce_result::kReplaced || processed == announce_result::kJoined) {
+    if (joined) {
       LOG(INFO) << "membership: target of service " << announced.service << " at "
                 << announced.address << " joined with incarnation " << announced.incarnation << ".";
-      admission_.ResetForColdTarget(now);
     }
     PollAdmission(work);
   }
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -216,4 +216,19 @@
   CHECK(fixture.executor.TakeCrashReports().empty());
 }
 
+// Guards against crash reports for calls at a target whose announcements were only late, and
+// against a planned stop that doesn't wait for them.
+TEST_CASE("calls stay in flight when their target announces itself again after its lease") {
+  executor_fixture fixture;
+  fixture.Send("long");
+  fixture.time.AdvanceBy(absl::Seconds(4));
+  REQUIRE_FALSE(fixture.executor.CurrentTarget());
+  CHECK(fixture.Announce(1) == announce_result::kJoined);
+  CHECK(fixture.executor.TakeCrashReports().empty());
+  CHECK(fixture.executor.Status().running == 1);
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.results.size() == 1);
+  CHECK(fixture.executor.Status().running == 0);
+}
+
 }  // namespace teaseljunction
--- a/src/membership/target_lease.h
+++ b/src/membership/target_lease.h
@@ -47,6 +47,12 @@
   /// Marks this incarnation as draining. Returns false when it is not the current target.
   bool Drain(uint64_t incarnation, absl::Time now);
 
+  /// Returns whether the latest process that announced itself, drained or withdrew has this
+  /// incarnation, also after its lease has expired.
+  bool IsLatestIncarnation(uint64_t incarnation) const {
+    return reported_ && incarnation == highest_incarnation_;
+  }
+
   /// Time at which the target was first known to be draining; InfiniteFuture when it is not.
   absl::Time DrainingSince() const { return draining_since_; }
 
