Send all answers completely before a drained RPC server closes its connections

On a planned stop the callers of a slow link lost answers that their target had already given: their daemon reported peer-lost (may have run). A call counts as running until its answer has been handed to the RPC system. The drain ended 200 ms after the last such call and closed the connections, however much of the answers was still waiting to be sent.

Evidence: build/bin/rpc_test "drain waits until answers have been sent" (8 answers of 3 MiB, the client reads nothing for 600 ms) failed before the change in all three runs, on threads and on a loop: 0 or 1 of 8 answers arrived whole. rpc_test passes 2,281 assertions in 17 cases after it, three runs at a load average of 21.

The drain now also waits until the connections have no queued bytes.

--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -19,7 +19,8 @@
 
 /// Time in which connections are still accepted that were being established when a drain began.
 constexpr absl::Duration kAcceptGracePeriod = absl::Milliseconds(100);
-/// A drain ends when no call has been running or been started for this long.
+/// A drain ends when no call has been running or been started, and no answer has been waiting to be
+/// sent, for this long.
 constexpr absl::Duration kQuietPeriod = absl::Milliseconds(200);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
 
@@ -72,9 +73,9 @@
     while (clock.Now() < deadline && clock.Now() - quiet_since < kQuietPeriod) {
       absl::SleepFor(kPollInterval);
       const uint64_t previous_count = std::exchange(started_count, call_counts_.started);
-      if (call_counts_.running > 0 || previous_count != started_count) quiet_since = clock.Now();
+      if (IsBusy() || previous_count != started_count) quiet_since = clock.Now();
     }
-    const bool drained = call_counts_.running == 0;
+    const bool drained = !IsBusy();
     Stop();
     return drained;
   }
@@ -86,6 +87,13 @@
   }
 
  private:
+  // Returns whether a call is running or an answer has not been sent completely.
+  bool IsBusy() {
+    return call_counts_.running > 0 ||
+           std::any_of(workers_.begin(), workers_.end(),
+                       [](const auto& worker) { return worker->QueuedBytes() > 0; });
+  }
+
   std::unique_ptr<server_worker> MakeWorker(int fd) {
     if (settings_.loop == nullptr) {
       return std::make_unique<server_thread_worker>(settings_, *service_, fd, call_counts_,
--- a/src/rpc/internal/server_connections.cc
+++ b/src/rpc/internal/server_connections.cc
@@ -61,7 +61,7 @@
 }
 
 void server_connections::AddConnection(kj::Own<kj::AsyncIoStream> stream) {
-  if (open_count_ >= settings_.max_connections) {
+  if (open_networks_.size() >= settings_.max_connections) {
     LogRpcWarning(limiter_, "connection refused: the limit of open connections is reached");
     return;
   }
@@ -70,9 +70,11 @@
   }
   auto connection = kj::heap<server_connection>(
       kj::mv(stream), node_, MessageLimits(settings_.max_message_bytes), limiter_);
-  ++open_count_;
-  kj::Promise<void> closed = connection->network.onDisconnect();
-  connections_->add(closed.attach(kj::mv(connection), kj::defer([this] { --open_count_; })));
+  capnp::TwoPartyVatNetwork* network = &connection->network;
+  open_networks_.insert(network);
+  kj::Promise<void> closed = network->onDisconnect();
+  connections_->add(closed.attach(kj::mv(connection),
+                                  kj::defer([this, network] { open_networks_.erase(network); })));
 }
 
 void server_connections::StopAccepting() {
@@ -80,6 +82,12 @@
   listener_ = nullptr;
 }
 
+size_t server_connections::QueuedBytes() const {
+  size_t bytes = 0;
+  for (capnp::TwoPartyVatNetwork* network : open_networks_) bytes += network->getCurrentQueueSize();
+  return bytes;
+}
+
 void server_connections::CloseAll() { connections_ = nullptr; }
 
 }  // namespace teaseljunction
--- a/src/rpc/internal/server_connections.h
+++ b/src/rpc/internal/server_connections.h
@@ -3,6 +3,9 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
+#include <cstddef>
+
+#include "absl/container/flat_hash_set.h"
 #include "common/log_limiter.h"
 #include "rpc/internal/node_impl.h"
 #include "rpc/rpc_server.h"
@@ -22,6 +25,9 @@
   /// Closes the listening socket; open connections are kept.
   void StopAccepting();
 
+  /// Returns the size of the messages that wait to be sent or are being sent, in bytes.
+  size_t QueuedBytes() const;
+
   /// Closes all connections. The RPC system cancels their calls in separate events of the loop.
   void CloseAll();
 
@@ -36,7 +42,7 @@
   log_limiter& limiter_;
   wire::Node::Client node_;
   kj::Own<kj::ConnectionReceiver> listener_;
-  unsigned open_count_ = 0;
+  absl::flat_hash_set<capnp::TwoPartyVatNetwork*> open_networks_;
   kj::Own<kj::TaskSet> connections_;
   kj::Promise<void> accepting_ = nullptr;
 };
--- a/src/rpc/internal/server_loop_worker.cc
+++ b/src/rpc/internal/server_loop_worker.cc
@@ -51,4 +51,10 @@
   loop_.RunAndWait([this] { connections_->StopAccepting(); });
 }
 
+size_t server_loop_worker::QueuedBytes() {
+  size_t bytes = 0;
+  loop_.RunAndWait([&] { bytes = connections_->QueuedBytes(); });
+  return bytes;
+}
+
 }  // namespace teaseljunction
--- a/src/rpc/internal/server_thread_worker.cc
+++ b/src/rpc/internal/server_thread_worker.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "absl/synchronization/notification.h"
 #include "event_loop/kj_log_callback.h"
 #include "rpc/internal/kj_support.h"
 
@@ -65,4 +66,15 @@
   Post([this] { connections_->StopAccepting(); });
 }
 
+size_t server_thread_worker::QueuedBytes() {
+  size_t bytes = 0;
+  absl::Notification done;
+  Post([&] {
+    bytes = connections_->QueuedBytes();
+    done.Notify();
+  });
+  done.WaitForNotification();
+  return bytes;
+}
+
 }  // namespace teaseljunction
--- a/src/rpc/internal/server_thread_worker.h
+++ b/src/rpc/internal/server_thread_worker.h
@@ -20,6 +20,7 @@
 
   int listen_fd() const override { return listen_fd_; }
   void StopAccepting() override;
+  size_t QueuedBytes() override;
 
  private:
   using task_queue = loop_queue<absl::AnyInvocable<void()>>;
--- a/src/rpc/internal/server_worker.h
+++ b/src/rpc/internal/server_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <memory>
 
 #include "rpc/internal/node_impl.h"
@@ -17,6 +18,9 @@
   virtual int listen_fd() const = 0;
   /// Closes the listening socket; open connections are kept.
   virtual void StopAccepting() = 0;
+  /// Returns the size of the messages that have not been sent completely, in bytes. Waits for the
+  /// loop.
+  virtual size_t QueuedBytes() = 0;
 };
 
 }  // namespace teaseljunction
--- a/src/rpc/rpc_server.h
+++ b/src/rpc/rpc_server.h
@@ -43,8 +43,9 @@
   result<uint16_t> Start();
 
   /// Graceful shutdown: stops accepting connections, waits until all running calls have been
-  /// answered and stops the server. Returns false when calls were still running after `timeout`;
-  /// they are then cancelled. Blocks the calling thread.
+  /// answered and the answers have been sent, and stops the server. Returns false when calls were
+  /// still running or answers were being sent after `timeout`; they are then cancelled. Blocks the
+  /// calling thread.
   bool Drain(absl::Duration timeout);
 
   /// Stops immediately: closes all connections and cancels running calls. Completions that run
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -398,6 +398,42 @@
   CHECK(running.service.cancelled == 0);
 }
 
+// Guards against a drain that cuts an answer which is still being sent, for example on a slow link.
+TEST_CASE("drain waits until answers have been sent") {
+  // More than the socket buffers hold.
+  const size_t call_count = 8;
+  const size_t answer_bytes = size_t{3} << 20;
+  running_server running;
+  event_loop loop(running.clock);
+  const auto client = rpc_peer_client_builder().Loop(&loop).Build();
+  std::vector<std::future<execute_result>> calls;
+  for (size_t i = 0; i < call_count; ++i) {
+    calls.push_back(ExecuteAsync(*client, running.address, "/keep"));
+  }
+  running.service.WaitForHeldCalls(call_count);
+  // While its loop is blocked, the client reads nothing.
+  absl::Notification readable;
+  loop.Post([&] { readable.WaitForNotification(); });
+  for (execute_completion& completion : running.service.held_completions) {
+    execute_result result;
+    result.answer = call_answer{200, {}, std::string(answer_bytes, 'x')};
+    completion(std::move(result));
+  }
+  bool drained = false;
+  std::thread drain([&] { drained = running.server->Drain(kLongTimeout); });
+  absl::SleepFor(absl::Milliseconds(600));
+  readable.Notify();
+  size_t whole_answers = 0;
+  for (std::future<execute_result>& call : calls) {
+    const execute_result ended = call.get();
+    const auto* answer = std::get_if<call_answer>(&ended.answer);
+    if (answer != nullptr && answer->body.size() == answer_bytes) ++whole_answers;
+  }
+  drain.join();
+  CHECK(whole_answers == call_count);
+  CHECK(drained);
+}
+
 // Guards against a drain that waits until its timeout for a call that was never started.
 TEST_CASE("drain does not wait for a call whose start failed") {
   running_server running;
