Keep fast endless responses from holding up the event loop

Cause: with several targets that send without end, the client's worker on an event loop never returned to the loop. It handled socket events until none were left, and libcurl continues the reading of a fast stream by a time-out of zero, which was handled at the end of the turn: the end of one turn scheduled the end of the next one, and the loop received no other events. All other work of the daemon waited until the streams' deadlines.

After 1 ms of a turn, the remaining socket events and time-outs are left to a posted task, so that the loop polls its other sources in between.

--- a/src/http/internal/curl_loop_worker.cc
+++ b/src/http/internal/curl_loop_worker.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int kEventsPerWait = 64;
+/// Time after which socket events and time-outs are left to the next turn of the loop.
+constexpr absl::Duration kMaxTurnTime = absl::Milliseconds(1);
 
 }  // namespace
 
@@ -81,7 +83,8 @@
 void curl_loop_worker::SetTimer(long timeout_ms) {
   if (timeout_ms == 0) {
     timeout_due_ = true;
-    HandleTimeoutAtTurnEnd();
+    if (!handling_timeout_) StartTimeoutTurn();
+    ScheduleTimeout();
     return;
   }
   timeout_at_ = timeout_ms < 0 ? absl::InfiniteFuture()
@@ -105,14 +108,16 @@
   }
   timeout_at_ = absl::InfiniteFuture();
   timeout_due_ = true;
-  HandleTimeoutAtTurnEnd();
+  StartTimeoutTurn();
+  ScheduleTimeout();
 }
 
 void curl_loop_worker::HandleSockets() {
   std::array<epoll_event, kEventsPerWait> events;
-  int count = 0;
+  const absl::Time turn_end = system_clock_source().Now() + kMaxTurnTime;
   do {
-    count = epoll_wait(epoll_fd_, events.data(), kEventsPerWait, 0);
+    const int count = epoll_wait(epoll_fd_, events.data(), kEventsPerWait, 0);
+    if (count <= 0) return;
     for (int i = 0; i < count; ++i) {
       const uint32_t ready = events[i].events;
       int bits = 0;
@@ -122,21 +127,45 @@
       int running = 0;
       curl_multi_socket_action(transfers_->multi(), events[i].data.fd, bits, &running);
     }
-    if (count > 0) transfers_->FinishCompleted();
-  } while (count > 0);
+    transfers_->FinishCompleted();
+  } while (system_clock_source().Now() < turn_end);
+  if (std::exchange(sockets_posted_, true)) return;
+  loop_.Post([this, alive = alive_] {
+    if (!*alive) return;
+    sockets_posted_ = false;
+    HandleSockets();
+  });
 }
 
-void curl_loop_worker::HandleTimeoutAtTurnEnd() {
-  if (turn_end_scheduled_) return;
-  turn_end_scheduled_ = true;
-  loop_.RunAtTurnEnd([this, alive = alive_] {
+void curl_loop_worker::StartTimeoutTurn() {
+  timeout_turn_end_ = system_clock_source().Now() + kMaxTurnTime;
+}
+
+void curl_loop_worker::ScheduleTimeout() {
+  if (std::exchange(timeout_scheduled_, true)) return;
+  if (system_clock_source().Now() < timeout_turn_end_) {
+    loop_.RunAtTurnEnd([this, alive = alive_] {
+      if (*alive) HandleDueTimeout();
+    });
+    return;
+  }
+  // libcurl reads a fast stream in time-outs of zero. The loop receives no other events as long as
+  // each end of a turn schedules the next one.
+  loop_.Post([this, alive = alive_] {
     if (!*alive) return;
-    turn_end_scheduled_ = false;
-    if (!std::exchange(timeout_due_, false)) return;
-    int running = 0;
-    curl_multi_socket_action(transfers_->multi(), CURL_SOCKET_TIMEOUT, 0, &running);
-    transfers_->FinishCompleted();
+    StartTimeoutTurn();
+    HandleDueTimeout();
   });
 }
 
+void curl_loop_worker::HandleDueTimeout() {
+  timeout_scheduled_ = false;
+  if (!std::exchange(timeout_due_, false)) return;
+  handling_timeout_ = true;
+  int running = 0;
+  curl_multi_socket_action(transfers_->multi(), CURL_SOCKET_TIMEOUT, 0, &running);
+  handling_timeout_ = false;
+  transfers_->FinishCompleted();
+}
+
 }  // namespace teaseljunction
--- a/src/http/internal/curl_loop_worker.h
+++ b/src/http/internal/curl_loop_worker.h
@@ -29,7 +29,11 @@
   void SetTimer(long timeout_ms);
   void HandleSockets();
   void HandleTimeout();
-  void HandleTimeoutAtTurnEnd();
+  void StartTimeoutTurn();
+  /// Schedules `HandleDueTimeout` for the end of the turn, or for a later turn if the time-outs of
+  /// this one have used up their time.
+  void ScheduleTimeout();
+  void HandleDueTimeout();
 
   event_loop& loop_;
   const int epoll_fd_;
@@ -38,7 +42,11 @@
   std::unique_ptr<input_watch> watch_;
   absl::Time timeout_at_ = absl::InfiniteFuture();
   uint64_t timer_id_ = 0;
-  bool turn_end_scheduled_ = false;
+  bool timeout_scheduled_ = false;
+  bool handling_timeout_ = false;
+  absl::Time timeout_turn_end_;
+  /// True while a posted task is to handle the remaining socket events.
+  bool sockets_posted_ = false;
   bool timeout_due_ = false;
   // False once this object is being destroyed; checked by tasks that are still queued on the loop.
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/http/tests/faulty_server_test.cc
+++ b/src/http/tests/faulty_server_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
@@ -9,6 +11,8 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "absl/synchronization/barrier.h"
+#include "absl/time/clock.h"
 #include "event_loop/event_loop.h"
 #include "http/curl_client.h"
 #include "http/tests/raw_socket.h"
@@ -96,6 +100,46 @@
   return parsed ? length : 0;
 }
 
+struct endless_case {
+  std::string name;
+  std::string start;
+  std::string repeated;
+  /// True if the answer is complete before the bytes without end.
+  bool has_end = false;
+};
+
+std::vector<endless_case> EndlessCases() {
+  const std::string head = absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks);
+  const std::string chunked = absl::StrCat(head, "Transfer-Encoding: chunked\r\n\r\n");
+  return {
+      {"status line", "HTTP/1.1 200 ", "x"},
+      {"header name", head, "x"},
+      {"header value", head + "A: ", "x"},
+      {"header lines", head, "A: b\r\n"},
+      {"folded header lines", head + "A: b\r\n", " c\r\n"},
+      {"interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body without a length", head + "\r\n", "x"},
+      {"body longer than its length", head + "Content-Length: 9\r\n\r\n", "x", true},
+      {"chunks", chunked, "1\r\nx\r\n"},
+      {"chunk of great size", chunked + "7fffffff\r\n", "x"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "1;", "x"},
+      {"last chunk's extension", chunked + "1\r\nx\r\n0;", "x"},
+      {"trailer name", chunked + "0\r\n", "x"},
+      {"trailer lines", chunked + "0\r\n", "A: b\r\n"},
+      {"blank lines", "", "\r\n"},
+      {"blank lines after an interim head", "HTTP/1.1 100 Continue\r\n\r\n", "\r\n"},
+      {"no protocol", "", "x"},
+      {"zero bytes", "", std::string(1, '\0')},
+  };
+}
+
+std::string Repeat(absl::string_view piece, size_t min_bytes) {
+  std::string repeated;
+  while (repeated.size() < min_bytes) repeated.append(piece.data(), piece.size());
+  return repeated;
+}
+
 }  // namespace
 
 // Guards against an answer that is taken as complete although it was cut off at any of its bytes.
@@ -246,4 +290,114 @@
   }
 }
 
+// Guards against an endless answer that holds a call beyond its deadline or is read without a
+// limit.
+TEST_CASE("bytes without end end their call and leave other calls unharmed") {
+  curl_client_builder builder = Builder();
+  for (const bool at_most_once : {false, true}) {
+    for (const endless_case& tested : EndlessCases()) {
+      INFO(tested.name << ", at most once " << at_most_once);
+      std::promise<void> begun;
+      std::promise<void> closed_by_client;
+      raw_server endless([&](raw_socket& connection) {
+        connection.ReadUntil("\r\n\r\n");
+        const std::string block = Repeat(tested.repeated, 65536);
+        connection.Write(tested.start);
+        connection.Write(block);
+        begun.set_value();
+        while (connection.Write(block)) {
+        }
+        closed_by_client.set_value();
+      });
+      raw_server other([](raw_socket& connection) {
+        connection.ReadUntil("\r\n\r\n");
+        connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, "Content-Length: 0\r\n\r\n"));
+      });
+      const auto client = builder.Threads(1).Build();
+      const answer_case request = {"", "GET", "", false};
+      std::promise<http_outcome> ended;
+      client->Send(endless.address(), RequestFor(request, 1, true, true), at_most_once,
+                   absl::Seconds(1), [&](http_outcome done) { ended.set_value(std::move(done)); });
+      begun.get_future().wait();
+      const http_outcome unharmed =
+          SendAsync(*client, other.address(), RequestFor(request, 1, true, true)).get();
+      CHECK(unharmed.index() == 0);
+      const http_outcome done = ended.get_future().get();
+      INFO(Describe(done));
+      if (tested.has_end) {
+        CHECK(Describe(done) == "200 with 9 bytes");
+        continue;
+      }
+      CHECK(MayHaveRun(done));
+      closed_by_client.get_future().wait();
+    }
+  }
+}
+
+// Guards against fast streams that keep the event loop from its other work until they end.
+TEST_CASE("several streams without end do not delay other calls until their deadline") {
+  const int stream_count = 4;
+  absl::Barrier* const begun = new absl::Barrier(stream_count + 1);
+  raw_server endless([&](raw_socket& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;"));
+    const std::string block = Repeat("x", 65536);
+    connection.Write(block);
+    if (begun->Block()) delete begun;
+    while (connection.Write(block)) {
+    }
+  });
+  raw_server other([](raw_socket& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, "Content-Length: 0\r\n\r\n"));
+  });
+  const auto client = Builder().Threads(1).Build();
+  const answer_case request = {"", "GET", "", false};
+  std::vector<std::future<http_outcome>> streams;
+  streams.reserve(stream_count);
+  for (int i = 0; i < stream_count; ++i) {
+    streams.push_back(SendAsync(*client, endless.address(), RequestFor(request, 1, false, true),
+                                false, absl::Seconds(5)));
+  }
+  if (begun->Block()) delete begun;
+  for (int i = 0; i < 5; ++i) {
+    const http_outcome unharmed =
+        SendAsync(*client, other.address(), RequestFor(request, 1, true, true)).get();
+    CHECK(unharmed.index() == 0);
+  }
+  const bool any_ended = std::any_of(streams.begin(), streams.end(), [](auto& stream) {
+    return stream.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+  });
+  CHECK_FALSE(any_ended);
+  for (auto& stream : streams) CHECK(MayHaveRun(stream.get()));
+}
+
+// Guards against slow bytes without end that hold a call beyond its deadline.
+TEST_CASE("a slow answer without end ends at the deadline") {
+  std::vector<std::unique_ptr<raw_server>> servers;
+  const auto client = Builder().Threads(1).Build();
+  std::vector<std::future<http_outcome>> calls;
+  const std::vector<endless_case> cases = EndlessCases();
+  for (const endless_case& tested : cases) {
+    servers.push_back(std::make_unique<raw_server>([&tested](raw_socket& connection) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Write(tested.start);
+      while (connection.Write(tested.repeated)) absl::SleepFor(absl::Milliseconds(5));
+    }));
+    const answer_case request = {"", "GET", "", false};
+    calls.push_back(SendAsync(*client, servers.back()->address(),
+                              RequestFor(request, 1, true, true), false, absl::Seconds(2)));
+  }
+  for (size_t i = 0; i < calls.size(); ++i) {
+    INFO(cases[i].name);
+    const http_outcome done = calls[i].get();
+    INFO(Describe(done));
+    if (cases[i].has_end) {
+      CHECK(Describe(done) == "200 with 9 bytes");
+    } else {
+      CHECK(MayHaveRun(done));
+    }
+  }
+}
+
 }  // namespace teaseljunction
