Move the client's timer forward for an earlier deadline

Cause: the worker on an event loop kept its pending timer when libcurl asked for an earlier time-out. Calls with a short time limit beside one with a long time limit, whose server is silent, were ended only when that timer expired or other traffic passed the client. Callers waited far beyond their limit.

The timer is now replaced if the new time-out is earlier. One that is later still lets the timer expire and starts it again, as before.

--- a/src/http/internal/curl_loop_worker.cc
+++ b/src/http/internal/curl_loop_worker.cc
@@ -89,8 +89,15 @@
   }
   timeout_at_ = timeout_ms < 0 ? absl::InfiniteFuture()
                                : system_clock_source().Now() + absl::Milliseconds(timeout_ms);
-  if (timeout_ms < 0 || timer_id_ != 0) return;
-  timer_id_ = loop_.RunAt(timeout_at_, [this, alive = alive_] {
+  // A timer that expires too early is started again for the rest of the time.
+  if (timeout_ms < 0 || (timer_id_ != 0 && timer_at_ <= timeout_at_)) return;
+  if (timer_id_ != 0) loop_.Cancel(timer_id_);
+  StartTimer();
+}
+
+void curl_loop_worker::StartTimer() {
+  timer_at_ = timeout_at_;
+  timer_id_ = loop_.RunAt(timer_at_, [this, alive = alive_] {
     if (*alive) HandleTimeout();
   });
 }
@@ -101,10 +108,7 @@
   if (now < timeout_at_) {
     if (timeout_at_ == absl::InfiniteFuture()) return;
     // The time-out was moved to a later time after the timer was started.
-    timer_id_ = loop_.RunAt(timeout_at_, [this, alive = alive_] {
-      if (*alive) HandleTimeout();
-    });
-    return;
+    return StartTimer();
   }
   timeout_at_ = absl::InfiniteFuture();
   timeout_due_ = true;
--- a/src/http/internal/curl_loop_worker.h
+++ b/src/http/internal/curl_loop_worker.h
@@ -27,6 +27,7 @@
 
   void WatchSocket(curl_socket_t socket, int poll_events, bool registered);
   void SetTimer(long timeout_ms);
+  void StartTimer();
   void HandleSockets();
   void HandleTimeout();
   void StartTimeoutTurn();
@@ -42,6 +43,7 @@
   std::unique_ptr<input_watch> watch_;
   absl::Time timeout_at_ = absl::InfiniteFuture();
   uint64_t timer_id_ = 0;
+  absl::Time timer_at_;
   bool timeout_scheduled_ = false;
   bool handling_timeout_ = false;
   absl::Time timeout_turn_end_;
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <future>
 #include <string>
 #include <vector>
@@ -155,6 +156,19 @@
   end.Notify();
 }
 
+// Guards against a short deadline that is kept only when the timer of an earlier call expires.
+TEST_CASE("a short deadline ends before a long one that began earlier") {
+  raw_server server([](raw_socket& connection) { connection.ReadAll(); });
+  const auto client = Builder().Threads(1).Build();
+  const auto first = SendAsync(*client, server.address(), true, kLongTimeout);
+  for (int i = 0; i < 10; ++i) {
+    const http_outcome done =
+        SendAsync(*client, server.address(), true, absl::Milliseconds(200)).get();
+    CHECK(KindOf(done) == error_kind::kDeadlineExceeded);
+  }
+  CHECK(first.wait_for(std::chrono::seconds(0)) == std::future_status::timeout);
+}
+
 // Guards against completions that are lost when the client is destroyed.
 TEST_CASE("running requests are cancelled when the client is destroyed") {
   raw_server server([](raw_socket& connection) { connection.ReadAll(); });
