Let a response win over the release of its exchange on the loop

Cause: with an event loop, a response given on another thread is posted to the loop. If the last reference to the exchange was then released on the loop's thread, its destructor found no response yet and answered 500 at once; the posted response was ignored. Callers got an internal error for a call that had its answer.

The exchange now remembers that it has a response.

--- a/src/http/internal/server_request.cc
+++ b/src/http/internal/server_request.cc
@@ -1,5 +1,6 @@
 #include "http/internal/server_request.h"
 
+#include <atomic>
 #include <utility>
 
 #include "event_loop/event_loop.h"
@@ -20,11 +21,12 @@
       : request_(std::move(request)), loop_(loop) {}
 
   ~request_exchange() override {
-    if (!request_->AwaitsResponse()) return;
+    if (responded_ || !request_->AwaitsResponse()) return;
     Respond(ProblemResponse({error_kind::kInternal, "no response was produced"}, ""));
   }
 
   void Respond(http_response response) override {
+    responded_ = true;
     if (loop_ == nullptr) return request_->Respond(std::move(response));
     loop_->Run([request = request_, response = std::move(response)]() mutable {
       request->Respond(std::move(response));
@@ -38,6 +40,8 @@
  private:
   const std::shared_ptr<server_request> request_;
   event_loop* const loop_;
+  /// True once there is a response, which may still be on its way to the loop's thread.
+  std::atomic<bool> responded_ = false;
 };
 
 }  // namespace
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -215,6 +215,31 @@
   CHECK(absl::StrContains(response, "Teaseljunction-Outcome: may-have-run"));
 }
 
+// Guards against an internal error in place of a response that another thread has just given.
+TEST_CASE("a response wins over the release of its exchange on the loop") {
+  std::shared_ptr<http_exchange> held_exchange;
+  absl::Notification arrived;
+  test_server running([&](const http_request&, std::shared_ptr<http_exchange> exchange) {
+    held_exchange = std::move(exchange);
+    arrived.Notify();
+  });
+  const raw_socket client = raw_socket::Connect(running.port);
+  client.Write(Request("GET /"));
+  arrived.WaitForNotification();
+  const auto respond_and_release = [&] {
+    std::thread([&] { held_exchange->Respond({200, {}, "response"}); }).join();
+    held_exchange.reset();
+  };
+  if (running.loop != nullptr) {
+    running.loop->RunAndWait(respond_and_release);
+  } else {
+    respond_and_release();
+  }
+  const std::string response = client.ReadUntil("response");
+  CHECK(absl::StrContains(response, " 200 "));
+  CHECK(absl::EndsWith(response, "response"));
+}
+
 // Guards against clients that hold connections open without sending a request.
 TEST_CASE("an idle connection is closed after the idle timeout") {
   test_server running(EchoSynchronously, absl::Seconds(1));
