Close the listening socket once if the server cannot be attached to its loop

Cause: MHD_stop_daemon closes the listening socket, and Start closed the descriptor once more after it. Another thread may have opened a file or connection under the same number in between.

Evidence: a trial program shows the descriptor open before MHD_stop_daemon and closed after it. No test: the failure needs a libmicrohttpd without an epoll descriptor.

--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -85,10 +85,13 @@
     daemon_ = StartDaemon();
     if (daemon_ != nullptr && (settings_.loop == nullptr || StartOnLoop())) return;
     watcher_->Stop();
-    if (daemon_ != nullptr) MHD_stop_daemon(std::exchange(daemon_, nullptr));
+    if (daemon_ == nullptr) return;
+    // This closes the listening socket.
+    MHD_stop_daemon(std::exchange(daemon_, nullptr));
+    listen_fd_ = -1;
   });
   if (daemon_ == nullptr) {
-    close(std::exchange(listen_fd_, -1));
+    if (listen_fd_ >= 0) close(std::exchange(listen_fd_, -1));
     return Fail(error_kind::kInternal, "the HTTP server could not be started");
   }
   LOG(INFO) << "http: listening on port " << port;
