Keep requests without end from holding up the server's event loop

Cause: for a chunk extension or chunk size without end, libmicrohttpd on an event loop reads until its buffer is full, then reports the connection as ready without reading on, until the idle time-out. Each such run was scheduled at the end of the turn by the one before, so the loop received no other events: one request stopped the daemon's RPC, timers and clients for the idle time-out (60 s by default).

After four successive runs, the next one is posted, so that the loop polls its other sources in between. The thread still uses its full processor time until the idle time-out; that is not changed here.

--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -29,6 +29,8 @@
 constexpr absl::Duration kPollInterval = absl::Milliseconds(2);
 /// Interval of the checks for idle connections on a loop.
 constexpr absl::Duration kIdleCheckInterval = absl::Milliseconds(500);
+/// Maximum number of successive runs of libmicrohttpd before the loop handles other events.
+constexpr int kMaxRunsPerTurn = 4;
 /// Memory per connection in addition to the request headers, for response headers and body reads.
 constexpr size_t kExtraConnectionMemoryBytes = size_t{16} << 10;
 
@@ -155,7 +157,17 @@
   // A wait of 0 ms means that connections are ready. One run accepts a limited number of
   // connections, and the remaining ones trigger no further event.
   const bool ready = MHD_get_timeout(daemon_, &wait_ms) == MHD_YES && wait_ms == 0;
-  if (ready || connection_accepted_) ScheduleDaemonRun();
+  if (!ready && !connection_accepted_) {
+    runs_in_turn_ = 0;
+    return;
+  }
+  if (++runs_in_turn_ < kMaxRunsPerTurn) return ScheduleDaemonRun();
+  // The loop receives no other events as long as each end of a turn schedules the next one.
+  runs_in_turn_ = 0;
+  if (std::exchange(run_scheduled_, true)) return;
+  settings_.loop->Post([this, serving = serving_] {
+    if (*serving) RunDaemon();
+  });
 }
 
 void http_server::impl::CheckIdleConnections() {
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -88,6 +88,7 @@
   // The members from here to `serving_` are used with a loop only, on its thread.
   std::unique_ptr<input_watch> watch_;
   bool run_scheduled_ = false;
+  int runs_in_turn_ = 0;
   bool connection_accepted_ = false;
   uint64_t idle_check_timer_ = 0;
   // False once the server has stopped; checked by tasks that are still queued on the loop.
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -86,6 +86,12 @@
   std::string status;
 };
 
+struct endless_request {
+  std::string name;
+  std::string start;
+  std::string repeated;
+};
+
 }  // namespace
 
 // Guards against requests that reach the handler although they are too large or ambiguous, and
@@ -135,6 +141,70 @@
   CHECK(absl::StrContains(client.ReadUntil("GET /after "), "GET /after "));
 }
 
+// Guards against requests without end that are read without a limit or keep others from the server.
+TEST_CASE("requests without end are cut off") {
+  const std::vector<endless_request> cases = {
+      {"request line", "GET /", "x"},
+      {"header line", "GET / HTTP/1.1\r\nHost: a\r\nA: ", "x"},
+      {"header lines", "GET / HTTP/1.1\r\nHost: a\r\n", "A: b\r\n"},
+      {"chunks", Request("POST /", "Transfer-Encoding: chunked\r\n"), "1\r\nx\r\n"},
+      {"chunk size", Request("POST /", "Transfer-Encoding: chunked\r\n"), "0"},
+      {"chunk extension", Request("POST /", "Transfer-Encoding: chunked\r\n") + "1;", "x"},
+      {"trailers", Request("POST /", "Transfer-Encoding: chunked\r\n") + "0\r\n", "A: b\r\n"},
+      {"blank lines", "", "\r\n"},
+      {"no protocol", "", "x"},
+      {"zero bytes", "", std::string(1, '\0')},
+  };
+  std::atomic<int> handled = 0;
+  test_server running(
+      [&](http_request request, std::shared_ptr<http_exchange> exchange) {
+        if (request.path != "/other") ++handled;
+        Echo(request, *exchange);
+      },
+      absl::Seconds(1));
+  const size_t max_sent_bytes = size_t{256} << 20;
+  for (const endless_request& tested : cases) {
+    INFO(tested.name);
+    std::string block;
+    while (block.size() < 65536) block += tested.repeated;
+    const raw_socket client = raw_socket::Connect(running.port);
+    bool open = client.Write(tested.start);
+    size_t sent_bytes = 0;
+    for (; open && sent_bytes < max_sent_bytes; sent_bytes += block.size()) {
+      open = client.Write(block);
+    }
+    CHECK_FALSE(open);
+    const raw_socket other = raw_socket::Connect(running.port);
+    other.Write(Request("GET /other"));
+    CHECK(absl::EndsWith(other.ReadUntil("GET /other "), "GET /other "));
+  }
+  CHECK(handled == 0);
+}
+
+// Guards against a request without end that keeps the loop from its other work.
+TEST_CASE("a request without end does not hold up the event loop") {
+  test_server running(EchoSynchronously, absl::Seconds(5));
+  const std::string block(65536, 'x');
+  absl::Notification closed;
+  absl::Notification sent;
+  std::thread sender([&] {
+    const raw_socket client = raw_socket::Connect(running.port);
+    client.Write(Request("POST /", "Transfer-Encoding: chunked\r\n") + "1;");
+    client.Write(block);
+    sent.Notify();
+    while (client.Write(block)) {
+    }
+    closed.Notify();
+  });
+  sent.WaitForNotification();
+  bool held_up = false;
+  for (int i = 0; i < 100 && running.loop != nullptr && !closed.HasBeenNotified(); ++i) {
+    running.loop->RunAndWait([&] { held_up |= closed.HasBeenNotified(); });
+  }
+  CHECK_FALSE(held_up);
+  sender.join();
+}
+
 // Guards against responses on the wrong connection, a changed target and a lost body.
 TEST_CASE("requests on persistent connections get their own responses") {
   const handler_function handle =
