Count the memory of response headers towards their limit

Cause: the limit of 64 KiB for the headers of a response counted the bytes of their lines only. Very short lines take many times their size.

Evidence: http_test "faulty responses*" with 2,000 headers "A:": before the fix 4 of 144 assertions failed (accepted), after it all pass.

Each line now counts 64 bytes in addition to its own size, which allows several hundred headers.

--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -17,6 +17,8 @@
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
+/// Memory that a header takes in addition to its line, which counts towards the limit.
+constexpr size_t kHeaderOverheadBytes = 64;
 
 bool IsToken(absl::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
@@ -136,7 +138,7 @@
 }
 
 bool curl_transfer::ReadHeader(absl::string_view line) {
-  header_bytes_ += line.size();
+  header_bytes_ += line.size() + kHeaderOverheadBytes;
   if (header_bytes_ > kMaxResponseHeaderBytes) {
     response_too_large_ = true;
     return false;
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -60,6 +60,8 @@
 // Guards against incomplete responses that are accepted, and against an error kind that says "not
 // run" although the request was sent.
 TEST_CASE("faulty responses map to their error kinds") {
+  std::string many_headers;
+  for (int i = 0; i < 2000; ++i) many_headers += "A:\r\n";
   const std::vector<response_fault_case> cases = {
       {"closed without a response", "", error_kind::kTargetFailed},
       {"closed within the headers", "HTTP/1.1 200 OK\r\nConte", error_kind::kTargetFailed},
@@ -78,6 +80,8 @@
        Response("Transfer-Encoding: chunked\r\n",
                 absl::StrCat("7d0\r\n", std::string(2000, 'x'), "\r\n0\r\n\r\n")),
        error_kind::kAnswerTooLarge},
+      {"many short headers over the limit", Response(many_headers, ""),
+       error_kind::kAnswerTooLarge},
       {"headers over the limit", Response("A: " + std::string(80000, 'x') + "\r\n", ""),
        error_kind::kAnswerTooLarge},
   };
