--- a/src/http/internal/curl_loop_worker.cc
+++ b/src/http/internal/curl_loop_worker.cc
@@ -14,10 +14,6 @@
 constexpr int kEventsPerWait = 64;
 /// Time after which socket events and time-outs are left to the next turn of the loop.
 constexpr absl::Duration kMaxTurnTime = absl::Milliseconds(1);
-/// Maximum number of waits for socket events in a turn, in case the clock is set back.
-constexpr int kMaxWaitsPerTurn = 16;
-/// Maximum number of time-outs in a turn, in case the clock is set back.
-constexpr int kMaxTimeoutsPerTurn = 16;
 
 }  // namespace
 
@@ -123,7 +119,7 @@
 void curl_loop_worker::HandleSockets() {
   std::array<epoll_event, kEventsPerWait> events;
   const absl::Time turn_end = system_clock_source().Now() + kMaxTurnTime;
-  for (int waits = 0; waits < kMaxWaitsPerTurn; ++waits) {
+  do {
     const int count = epoll_wait(epoll_fd_, events.data(), kEventsPerWait, 0);
     if (count <= 0) return;
     for (int i = 0; i < count; ++i) {
@@ -136,8 +132,7 @@
       curl_multi_socket_action(transfers_->multi(), events[i].data.fd, bits, &running);
     }
     transfers_->FinishCompleted();
-    if (system_clock_source().Now() >= turn_end) break;
-  }
+  } while (system_clock_source().Now() < turn_end);
   if (std::exchange(sockets_posted_, true)) return;
   loop_.Post([this, alive = alive_] {
     if (!*alive) return;
@@ -147,13 +142,12 @@
 }
 
 void curl_loop_worker::StartTimeoutTurn() {
-  timeouts_in_turn_ = 0;
   timeout_turn_end_ = system_clock_source().Now() + kMaxTurnTime;
 }
 
 void curl_loop_worker::ScheduleTimeout() {
   if (std::exchange(timeout_scheduled_, true)) return;
-  if (timeouts_in_turn_ < kMaxTimeoutsPerTurn && system_clock_source().Now() < timeout_turn_end_) {
+  if (system_clock_source().Now() < timeout_turn_end_) {
     loop_.RunAtTurnEnd([this, alive = alive_] {
       if (*alive) HandleDueTimeout();
     });
@@ -171,7 +165,6 @@
 void curl_loop_worker::HandleDueTimeout() {
   timeout_scheduled_ = false;
   if (!std::exchange(timeout_due_, false)) return;
-  ++timeouts_in_turn_;
   handling_timeout_ = true;
   int running = 0;
   curl_multi_socket_action(transfers_->multi(), CURL_SOCKET_TIMEOUT, 0, &running);
--- a/src/http/internal/curl_loop_worker.h
+++ b/src/http/internal/curl_loop_worker.h
@@ -32,7 +32,7 @@
   void HandleTimeout();
   void StartTimeoutTurn();
   /// Schedules `HandleDueTimeout` for the end of the turn, or for a later turn if the time-outs of
-  /// this one have reached their limit.
+  /// this one have used up their time.
   void ScheduleTimeout();
   void HandleDueTimeout();
 
@@ -46,7 +46,6 @@
   absl::Time timer_at_;
   bool timeout_scheduled_ = false;
   bool handling_timeout_ = false;
-  int timeouts_in_turn_ = 0;
   absl::Time timeout_turn_end_;
   /// True while a posted task is to handle the remaining socket events.
   bool sockets_posted_ = false;
