Add a soak of planned stops with real processes

scripts/soak [--seed=N] [--seconds=S] starts four daemons (three control members) and four stand-in targets, sends SIGTERM to daemons one after the other and overlapping, starts them again and submits manifests. In every round the targets of one service take 0.1, 1 or 3.5 s per request. Meanwhile `teaseljunction-bench soak` uses 24 connections, each until the daemon closes it, and checks the answers; afterwards it compares them with the runs that the targets counted. A connection that is closed without an answer counts as "unread" only when the kernel reports a reset, that is, when the daemon closed it with the request unread.

--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -12,6 +12,7 @@
 #include "bench/decision.h"
 #include "bench/overhead.h"
 #include "bench/replay.h"
+#include "bench/soak.h"
 #include "bench/trace.h"
 #include "common/log.h"
 
@@ -23,12 +24,16 @@
 ABSL_FLAG(std::string, local, "", "overhead: IP:port of the entry of the daemon beside the target");
 ABSL_FLAG(std::string, remote, "", "overhead: IP:port of the entry of another daemon");
 ABSL_FLAG(std::string, path, "/", "overhead: path of the calls");
-ABSL_FLAG(std::string, key, "", "overhead: API key of the calls");
+ABSL_FLAG(std::string, key, "", "overhead, soak: API key of the calls");
 ABSL_FLAG(std::vector<std::string>, rates, std::vector<std::string>({"250", "1000"}),
           "overhead: calls per second");
 ABSL_FLAG(std::vector<std::string>, pids, {},
           "overhead: IDs of processes whose CPU and memory use is reported");
 ABSL_FLAG(int, rounds, 10, "overhead: one-second rounds for each call path and rate");
+ABSL_FLAG(std::vector<std::string>, entries, {}, "soak: IP:port of the entries of all daemons");
+ABSL_FLAG(std::vector<std::string>, targets, {}, "soak: IP:port of all stand-in targets");
+ABSL_FLAG(uint64_t, seed, 1, "soak: seed of the sequence of requests");
+ABSL_FLAG(int, seconds, 30, "soak: duration of the run");
 ABSL_FLAG(bool, deadlock_detection, false,
           "decision: keep Abseil's deadlock detection at the default of the installed library");
 
@@ -197,6 +202,33 @@
   return 0;
 }
 
+int RunSoakTest() {
+  soak_settings settings;
+  settings.entries = absl::GetFlag(FLAGS_entries);
+  settings.targets = absl::GetFlag(FLAGS_targets);
+  settings.key = absl::GetFlag(FLAGS_key);
+  settings.duration = absl::Seconds(absl::GetFlag(FLAGS_seconds));
+  settings.seed = absl::GetFlag(FLAGS_seed);
+  auto finished = Capture<soak_report>([&] { return RunSoak(settings); });
+  if (const auto* failure = std::get_if<error>(&finished)) {
+    std::cerr << "teaseljunction-bench: " << failure->detail << "\n";
+    return kUsageExitCode;
+  }
+  const auto& report = std::get<soak_report>(finished);
+  for (const std::string& detail : report.details) std::cerr << detail << "\n";
+  nlohmann::json checks;
+  uint64_t violations = 0;
+  for (const soak_check& check : report.checks) {
+    checks.push_back({{"property", check.property}, {"violations", check.violations}});
+    violations += check.violations;
+  }
+  const nlohmann::json document = {{"requests", report.requests}, {"answered", report.answered},
+                                   {"refused", report.refused},   {"timedOut", report.timed_out},
+                                   {"unread", report.unread},     {"checks", checks}};
+  std::cout << document.dump(1) << "\n";
+  return violations == 0 ? 0 : 1;
+}
+
 int WriteTraces(const std::string& folder) {
   for (const trace& generated : StandardTraces()) {
     std::ofstream file(folder + "/" + generated.name + ".json");
@@ -218,7 +250,8 @@
       "  teaseljunction-bench replay [--json] [--policy=NAME] TRACE...\n"
       "  teaseljunction-bench traces FOLDER\n"
       "  teaseljunction-bench overhead --direct=A --local=B --remote=C [--key=K] [--json]\n"
-      "  teaseljunction-bench decision [--json] [--deadlock_detection]");
+      "  teaseljunction-bench decision [--json] [--deadlock_detection]\n"
+      "  teaseljunction-bench soak --entries=A,B --targets=C,D --key=K [--seed=N] [--seconds=S]");
   std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
   const std::string command = arguments.size() > 1 ? arguments[1] : "";
   const std::vector<char*> operands(arguments.begin() + std::min<size_t>(2, arguments.size()),
@@ -226,6 +259,7 @@
   if (command == "replay" && !operands.empty()) return teaseljunction::RunReplay(operands);
   if (command == "overhead" && operands.empty()) return teaseljunction::RunOverhead();
   if (command == "decision" && operands.empty()) return teaseljunction::RunDecision();
+  if (command == "soak" && operands.empty()) return teaseljunction::RunSoakTest();
   if (command == "traces" && operands.size() == 1) return teaseljunction::WriteTraces(operands[0]);
   std::cerr << absl::ProgramUsageMessage() << "\n";
   return teaseljunction::kUsageExitCode;
