--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -135,7 +135,8 @@
   return static_cast<uint16_t>(port);
 }
 
-daemon_settings SettingsFor(const std::string& id, absl::Duration drain_delay) {
+daemon_settings SettingsFor(const std::string& id, absl::Duration drain_delay,
+                            absl::Duration drain_timeout) {
   daemon_settings settings;
   settings.listen = UnusedAddress();
   settings.operators_listen = UnusedAddress();
@@ -145,7 +146,7 @@
   settings.freshness_lease = absl::Seconds(5);
   settings.target_lease = absl::Minutes(5);
   settings.drain_delay = drain_delay;
-  settings.drain_timeout = absl::Seconds(5);
+  settings.drain_timeout = drain_timeout;
   settings.idle_connection_linger = absl::Seconds(5);
   settings.max_body_bytes = size_t{1} << 20;
   return settings;
@@ -205,15 +206,16 @@
 // by the tests; the far daemon is the control group and stays.
 class planned_stop_fixture {
  public:
-  explicit planned_stop_fixture(absl::Duration drain_delay)
+  explicit planned_stop_fixture(absl::Duration drain_delay,
+                                absl::Duration drain_timeout = absl::Seconds(5))
       : data_directory_(std::filesystem::temp_directory_path() /
                         absl::StrCat("planned-stop-test-", getpid())) {
     std::filesystem::remove_all(data_directory_);
-    daemon_settings far_settings = SettingsFor("far", drain_delay);
+    daemon_settings far_settings = SettingsFor("far", drain_delay, drain_timeout);
     far_settings.control = true;
     far_settings.data_dir = data_directory_.string();
     far_settings.control_peers = {far_settings.rpc_listen};
-    daemon_settings near_settings = SettingsFor("near", drain_delay);
+    daemon_settings near_settings = SettingsFor("near", drain_delay, drain_timeout);
     near_settings.control_peers = far_settings.control_peers;
     far = std::make_unique<host>(std::move(far_settings));
     near = std::make_unique<host>(std::move(near_settings));
@@ -413,4 +415,26 @@
   CHECK(running.get().status == 200);
 }
 
+// Guards against a leader that stops only at the end of its time because daemons keep calling it.
+TEST_CASE("syncs of other daemons do not prolong the stop of the leader") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200), 2 * kWaitLimit);
+  const auto peers = rpc_peer_client_builder().Threads(1).Build();
+  const sync_request sync{.daemon = fixture.near->daemon->Components().node.Status().daemon};
+  auto run = std::async(std::launch::async, [&] { return fixture.far->daemon->Run(); });
+  auto syncs = std::async(std::launch::async, [&] {
+    int count = 0;
+    for (; !IsReady(run); ++count) {
+      absl::Notification done;
+      peers->Sync(fixture.far->settings.rpc_listen, sync, absl::Seconds(1),
+                  [&](const outcome<sync_response>&) { done.Notify(); });
+      done.WaitForNotification();
+    }
+    return count;
+  });
+  fixture.far->daemon->RequestStop();
+  CHECK(WaitUntil([&] { return IsReady(run); }));
+  CHECK(syncs.get() > 0);
+  CHECK(run.get());
+}
+
 }  // namespace teaseljunction
