Don't prolong the stop of a leader by the calls of other daemons

Cause: the drain of the RPC server waited until no call of any kind had been started for 200 ms. Syncs, proposals and Raft messages reach a leader as long as it can be reached.

The wait for quiet counts only calls of `execute`, of which the executor refuses new ones by then; a running call of any kind is still waited for.

--- a/src/rpc/internal/node_impl.cc
+++ b/src/rpc/internal/node_impl.cc
@@ -6,6 +6,7 @@
   call request = Decode(context.getParams());
   context.releaseParams();
   context.allowCancellation();
+  incoming_calls_.RecordExecution();
   return incoming_calls_.Dispatch<execute_result>(
       [&](absl::AnyInvocable<void(execute_result)> done) {
         return service_.Execute(std::move(request), std::move(done));
--- a/src/rpc/internal/node_impl.h
+++ b/src/rpc/internal/node_impl.h
@@ -20,8 +20,9 @@
 struct server_call_counts {
   /// Calls that are running now.
   std::atomic<int64_t> running = 0;
-  /// Calls that have ever been started.
-  std::atomic<uint64_t> started = 0;
+  /// Calls of `execute` that have ever been started. The other calls are not counted, because a
+  /// leader gets them as long as it can be reached, and their callers turn to other members.
+  std::atomic<uint64_t> executions = 0;
 };
 
 /// Runs completions on the loop of their call. Discards them once the calls of the loop have been
@@ -41,6 +42,9 @@
   incoming_calls(std::shared_ptr<completion_executor> executor, server_call_counts& call_counts)
       : executor_(std::move(executor)), call_counts_(call_counts) {}
 
+  /// Counts a call of `execute`, which a drain of the server waits for.
+  void RecordExecution() { ++call_counts_.executions; }
+
   /// Calls `start` with a completion and returns a promise that resolves when `deliver` has
   /// consumed the result. Destroying the promise before that cancels the execution that `start`
   /// returned, if any.
@@ -73,7 +77,6 @@
   struct registration {
     registration(incoming_calls& calls, uint64_t call_id) : owner(calls), id(call_id) {
       ++owner.call_counts_.running;
-      ++owner.call_counts_.started;
     }
     ~registration() noexcept(false) {
       --owner.call_counts_.running;
--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -20,7 +20,7 @@
 /// Time in which connections are still accepted that were being established when a drain began.
 constexpr absl::Duration kAcceptGracePeriod = absl::Milliseconds(100);
 /// A drain ends when no call has been running or been started, and no answer has been waiting to be
-/// sent, for this long.
+/// A drain ends when no call is running and no `execute` has been started for this long.
 constexpr absl::Duration kQuietPeriod = absl::Milliseconds(200);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
 
@@ -68,12 +68,12 @@
     for (const auto& worker : workers_) IgnoreNewConnections(worker->listen_fd());
     absl::SleepFor(std::min(kAcceptGracePeriod, timeout));
     for (const auto& worker : workers_) worker->StopAccepting();
-    uint64_t started_count = call_counts_.started;
+    uint64_t executions = call_counts_.executions;
     absl::Time quiet_since = clock.Now();
-    while (clock.Now() < deadline && clock.Now() - quiet_since < kQuietPeriod) {
+    while (clock.Now() < deadline && (IsBusy() || clock.Now() - quiet_since < kQuietPeriod)) {
       absl::SleepFor(kPollInterval);
-      const uint64_t previous_count = std::exchange(started_count, call_counts_.started);
-      if (IsBusy() || previous_count != started_count) quiet_since = clock.Now();
+      const uint64_t previous = std::exchange(executions, call_counts_.executions);
+      if (previous != executions) quiet_since = clock.Now();
     }
     const bool drained = !IsBusy();
     Stop();
