--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -19,8 +19,8 @@
 
 /// Time in which connections are still accepted that were being established when a drain began.
 constexpr absl::Duration kAcceptGracePeriod = absl::Milliseconds(100);
-/// A drain ends when no call has been running or been started, and no answer has been waiting to be
-/// A drain ends when no call is running and no `execute` has been started for this long.
+/// A drain ends when no call is running, no answer waits to be sent, and no `execute` has been
+/// started for this long.
 constexpr absl::Duration kQuietPeriod = absl::Milliseconds(200);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
 
