Give targets time to respond that their deadline has passed

A daemon closed the connection to a target at the deadline that it had passed on, which is when the target gives the call up and responds itself. The caller then got an answer of the daemon, and the target saw a call that was cut off (found by the review for child calls of a stopping daemon, whose deadline is moved forward; by reading).

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -23,6 +23,9 @@
 // Time for which a draining target still accepts calls, for daemons that have not yet learned that
 // it is draining.
 constexpr absl::Duration kDrainGracePeriod = absl::Seconds(1);
+// Time beyond the deadline in which the target can still respond that it has passed. Otherwise the
+// connection would be closed just as the target gives the call up itself.
+constexpr absl::Duration kTargetResponseMargin = absl::Milliseconds(50);
 // One in this many responses reports the cost of its route.
 constexpr uint64_t kResponsesPerCostReport = 4;
 // Size of the headers and bookkeeping of a queued call, counted towards the limit on queue memory.
@@ -338,7 +341,8 @@
   const uint64_t http_id = deps_.client.Send(
       target->address,
       RequestForTarget(started->request, started->token, *target, time_left, deps_.headers),
-      !started->request.idempotent, time_left, [this, call_id](outcome<http_response> response) {
+      !started->request.idempotent, time_left + kTargetResponseMargin,
+      [this, call_id](outcome<http_response> response) {
         OnResponse(call_id, std::move(response));
       });
   bool cancelled = false;
--- a/src/gateway/tests/mocks/fake_http_client.h
+++ b/src/gateway/tests/mocks/fake_http_client.h
@@ -11,9 +11,10 @@
 /// Records requests sent to the target and lets the test complete them.
 class fake_http_client : public http_client {
  public:
-  uint64_t Send(absl::string_view, http_request request, bool at_most_once, absl::Duration,
+  uint64_t Send(absl::string_view, http_request request, bool at_most_once, absl::Duration timeout,
                 absl::AnyInvocable<void(outcome<http_response>)> completion) override {
     last_at_most_once = at_most_once;
+    last_timeout = timeout;
     last_path = request.path;
     last_request = std::move(request);
     open[++last_id] = std::move(completion);
@@ -29,6 +30,7 @@
   std::map<uint64_t, absl::AnyInvocable<void(outcome<http_response>)>> open;
   uint64_t last_id = 0;
   bool last_at_most_once = false;
+  absl::Duration last_timeout;
   std::string last_path;
   http_request last_request;
 };
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -266,6 +266,16 @@
   CHECK(draining.executor.CurrentTarget()->draining);
 }
 
+// Guards against cutting off a target that responds at its deadline that it has given the call up.
+TEST_CASE("a target has time to respond after the deadline that it is given") {
+  executor_fixture fixture;
+  fixture.Send("f");
+  const auto given =
+      FindHeader(fixture.client.last_request.headers, fixture.headers.deadline).value_or("");
+  CHECK(given == "5000");
+  CHECK(fixture.client.last_timeout > absl::Seconds(5));
+}
+
 // Guards against delivering a result twice or after the call was cancelled.
 TEST_CASE("each call ends exactly once") {
   executor_fixture fixture;
