Test the refusals and deadlines of a stopping entry, and refusals that race with a start

The limit of a child call's deadline, its refusal after that limit and the short Retry-After (entry_request_handler_test.cc, new); the cancellation of an attempt whose caller disconnects while it is sent; the return of the attempts of a refused call; RefuseQueuedCalls for a call that has left the queue and is about to be sent. Each has a test now that passes on the present code.

--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -205,6 +205,20 @@
   CHECK(fixture.peers.attempts[1].cancelled);
 }
 
+// Guards against an attempt that runs although its caller disconnected while it was being sent.
+TEST_CASE("a disconnect while an attempt is being sent cancels the attempt") {
+  entry_fixture fixture;
+  const auto lookup = fixture.Send({"GET", "/stock/1", {}, ""});
+  execute_result refused;
+  refused.answer = error{error_kind::kDraining, ""};
+  refused.unused_attempts = fixture.peers.attempts[0].request.attempt_budget;
+  fixture.peers.after_execute = [&] { lookup->disconnect(); };
+  fixture.peers.attempts[0].done(std::move(refused));
+  fixture.time.AdvanceBy(absl::Seconds(1));
+  REQUIRE(fixture.peers.attempts.size() == 2);
+  CHECK(fixture.peers.attempts[1].cancelled);
+}
+
 // Guards against requests beyond the tokens of the account, and against waiting indefinitely.
 TEST_CASE("a request without a token waits and is then refused as not run") {
   entry_fixture fixture;
--- /dev/null
+++ b/src/gateway/tests/entry_request_handler_test.cc
@@ -0,0 +1,96 @@
+#include "gateway/entry_request_handler.h"
+
+#include <catch2/catch.hpp>
+
+#include "gateway/tests/mocks/sample_manifest.h"
+#include "gateway/tests/mocks/target_executor_environment.h"
+
+namespace teaseljunction {
+namespace {
+
+// An entry of a daemon whose target runs one call; the route "lookup" has targets elsewhere.
+struct handler_fixture : target_executor_environment {
+  account_rate_limiter accounts{time, time, absl::Milliseconds(300), [] {}};
+  target_selector targets{"entry", "dc1", random};
+  fake_control_client control;
+  fake_peer_client peers;
+  call_metrics metrics;
+  pending_work_counter pending;
+  resolver_settings settings;
+  entry_call_dependencies dependencies{time,  random,     time,    accounts, targets,  control,
+                                       peers, quarantine, metrics, pending,  settings, graph};
+  active_manifest config;
+  target_announcement_handler announcements{executor};
+  entry_request_handler handler{dependencies, config, contexts, announcements, "127.0.0.1"};
+  std::string context;
+
+  handler_fixture() {
+    config.Install(SampleManifest());
+    config.ConfirmUntil(time.Now() + absl::Hours(1));
+    targets.SetTargets(std::vector<balancer_target>{{.daemon_id = "stock0",
+                                                     .service = "stock",
+                                                     .address = "stock0",
+                                                     .data_centre = "dc1",
+                                                     .incarnation = 1,
+                                                     .slots = 10}},
+                       time.Now());
+    call parent;
+    parent.attempt_budget = 16;
+    context = contexts.Add(std::make_shared<running_call>(parent, time.Now() + absl::Hours(1)));
+  }
+
+  std::shared_ptr<recorded_exchange> Send(std::string path, std::vector<http_header> headers) {
+    auto exchange = std::make_shared<recorded_exchange>();
+    handler.Handle({"GET", std::move(path), std::move(headers), ""}, exchange);
+    return exchange;
+  }
+
+  std::shared_ptr<recorded_exchange> SendChild() {
+    return Send("/stock/1", {{"Teaseljunction-Context", context}});
+  }
+};
+
+bool IsDrainingRefusal(const recorded_exchange& exchange) {
+  return exchange.responses == 1 && exchange.last.status == 503 &&
+         FindHeader(exchange.last.headers, "Teaseljunction-Outcome").value_or("") == "not-run" &&
+         exchange.last.body.find("error:draining\"") != std::string::npos;
+}
+
+}  // namespace
+
+// Guards against a child call that is still running when the stop of its daemon ends.
+TEST_CASE("a child call of a stopping daemon ends before the stop") {
+  handler_fixture fixture;
+  fixture.handler.StopAcceptingCallers(fixture.time.Now() + absl::Milliseconds(70));
+  const auto child = fixture.SendChild();
+  REQUIRE(fixture.peers.attempts.size() == 1);
+  CHECK(fixture.peers.attempts.back().request.time_left == absl::Milliseconds(70));
+  CHECK(child->responses == 0);
+}
+
+// Guards against a child call that is started with no time left instead of being refused as not
+// run.
+TEST_CASE("a child call that arrives at the end of a stop is refused as not run") {
+  handler_fixture fixture;
+  fixture.handler.StopAcceptingCallers(fixture.time.Now() + absl::Milliseconds(70));
+  fixture.time.AdvanceBy(absl::Milliseconds(70));
+  CHECK(IsDrainingRefusal(*fixture.SendChild()));
+  CHECK(fixture.peers.attempts.empty());
+}
+
+// Guards against callers that wait long before they repeat a refused request at another daemon.
+TEST_CASE("the refusal of a stopping daemon has a short Retry-After") {
+  handler_fixture fixture;
+  fixture.handler.StopAcceptingCallers(fixture.time.Now() + absl::Seconds(1));
+  for (const bool fractional : {true, false}) {
+    fixture.settings.headers.fractional_retry_after = fractional;
+    const auto refused = fixture.Send("/status", {});
+    CHECK(IsDrainingRefusal(*refused));
+    const auto retry_after = FindHeader(refused->last.headers, "Retry-After");
+    REQUIRE(retry_after);
+    CHECK(std::stod(std::string(*retry_after)) <= (fractional ? 0.1 : 1));
+  }
+  CHECK(fixture.peers.attempts.empty());
+}
+
+}  // namespace teaseljunction
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -171,6 +171,38 @@
   CHECK(fixture.client.last_id == busy.running);
 }
 
+// Guards against a refusal as not run of a call that is sent to its target at the same moment.
+TEST_CASE("a call that has left the queue when the queue is refused runs and is answered") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  fixture.Send("queued");
+  REQUIRE(fixture.executor.Status().queued == 1);
+  // The end of the first call admits the second one, which starts after the result was delivered.
+  fixture.after_result = [&] { fixture.executor.RefuseQueuedCalls(); };
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.results.size() == 1);
+  REQUIRE(fixture.client.last_id == 2);
+  fixture.client.End(2, http_response{200, {}, ""});
+  REQUIRE(fixture.results.size() == 2);
+  CHECK(fixture.results.back().answer.index() == 0);
+  CHECK(fixture.executor.Status().running == 0);
+}
+
+// Guards against a refusal that uses up the attempts with which the call could run elsewhere.
+TEST_CASE("a call that is refused as not run returns its attempts") {
+  executor_fixture fixture;
+  fixture.executor.StopAccepting();
+  call request;
+  request.service = "stock";
+  request.attempt_budget = 5;
+  request.time_left = absl::Seconds(5);
+  uint32_t unused_attempts = 0;
+  fixture.executor.Execute(
+      request, [&](const execute_result& executed) { unused_attempts = executed.unused_attempts; });
+  CHECK(unused_attempts == 5);
+}
+
 // Guards against a planned stop that waits until its deadline for a call that never ran.
 TEST_CASE("a call that is cancelled between admission and start does not stay in flight") {
   executor_fixture fixture;
