Test that a call in the queue of a busy target is refused as not run at the end of a stop

Review of the stop: with RefuseQueuedCalls taken out of Drain on purpose, no case of daemon_test failed.

Evidence: with it taken out, "a call that is still queued when the stop ends is refused as not run" fails (peer-lost instead of draining); on the present code it passes. The fixture's announcement takes the number of slots, so that one held call fills the target.

--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -176,10 +176,10 @@
     return std::async(std::launch::async, [this, path = std::move(path)] { return Get(path); });
   }
 
-  void AnnounceTarget() const {
+  void AnnounceTarget(int slots = 500) const {
     const std::string body =
-        absl::StrCat(R"({"service":")", settings.daemon_id,
-                     R"(","incarnation":1,"slots":500,"address":")", target_address, "\"}");
+        absl::StrCat(R"({"service":")", settings.daemon_id, R"(","incarnation":1,"slots":)", slots,
+                     R"(,"address":")", target_address, "\"}");
     const raw_socket connection = raw_socket::Connect(PortOf(settings.listen));
     connection.Write(absl::StrCat(
         "POST /teaseljunction/v1/target HTTP/1.1\r\nHost: test\r\nContent-Length: ", body.size(),
@@ -413,4 +413,40 @@
   CHECK(running.get().status == 200);
 }
 
+// Guards against calls of other daemons that are lost with their connection although their target
+// has not got them.
+TEST_CASE("a call that is still queued when the stop ends is refused as not run") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200));
+  fixture.near->AnnounceTarget(1);
+  auto running = fixture.near->GetAsync("/near/held");
+  REQUIRE(WaitUntil([&] { return fixture.near->target.HasReceived("/near/held"); }));
+  const auto peers = rpc_peer_client_builder().Threads(1).Build();
+  outcome<call_answer> answer = call_answer{};
+  absl::Notification done;
+  peers->Execute(fixture.near->settings.rpc_listen,
+                 {.request_id = "queued",
+                  .service = "near",
+                  .method = "GET",
+                  .path = "/near/queued",
+                  .priority = request_priority::kCritical,
+                  .depth = 1,
+                  .time_left = kWaitLimit,
+                  .route = "near",
+                  .max_wait = kWaitLimit},
+                 kWaitLimit, [&](execute_result executed) {
+                   answer = std::move(executed.answer);
+                   done.Notify();
+                 });
+  REQUIRE(WaitUntil(
+      [&] { return fixture.near->daemon->Components().node.Status().calls_queued == 1; }));
+  fixture.near->daemon->RequestStop();
+  done.WaitForNotification();
+  REQUIRE(answer.index() == 1);
+  const auto& failure = std::get<error>(answer);
+  INFO(AnswerFor(failure.kind).name << " " << failure.detail);
+  CHECK(failure.kind == error_kind::kDraining);
+  CHECK_FALSE(fixture.near->target.HasReceived("/near/queued"));
+  running.wait();
+}
+
 }  // namespace teaseljunction
