Test that other daemons learn of a planned stop at its start

Review of the stop: with BeginDrain taken out of Drain on purpose, no case of daemon_test failed; the daemon then stays ready for the provider and announced to other daemons until it refuses them.

Evidence: with it taken out the new case fails, on the present code it passes (one run of each).

--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -381,6 +381,19 @@
   CHECK(running.get().status == 200);
 }
 
+// Guards against a stop of which other daemons and the provider learn only when it refuses them.
+TEST_CASE("other daemons learn of a stop at its start") {
+  const planned_stop_fixture fixture(absl::Seconds(5));
+  fixture.near->daemon->RequestStop();
+  REQUIRE(WaitUntil([&] {
+    for (const daemon_announcement& known :
+         fixture.far->daemon->Components().node.Status().directory) {
+      if (known.daemon_id == "near") return known.draining;
+    }
+    return false;
+  }));
+}
+
 // Guards against calls of other daemons that prolong the stop until they are given up.
 TEST_CASE("a call of another daemon after the drain delay is refused") {
   const planned_stop_fixture fixture(absl::Milliseconds(200));
