--- a/src/gateway/tests/mocks/fake_http_client.h
+++ b/src/gateway/tests/mocks/fake_http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -15,8 +16,10 @@
                 absl::AnyInvocable<void(outcome<http_response>)> completion) override {
     last_at_most_once = at_most_once;
     last_path = request.path;
-    open[++last_id] = std::move(completion);
-    return last_id;
+    const uint64_t id = ++last_id;
+    open[id] = std::move(completion);
+    if (after_send) std::exchange(after_send, nullptr)();
+    return id;
   }
   void Cancel(uint64_t id) override { End(id, error{error_kind::kCancelled, ""}); }
 
@@ -29,6 +32,8 @@
   uint64_t last_id = 0;
   bool last_at_most_once = false;
   std::string last_path;
+  /// Runs once, before `Send` returns.
+  std::function<void()> after_send;
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -189,6 +189,21 @@
   CHECK(fixture.executor.Status().running == 0);
 }
 
+// Guards against a call that goes on at its target although it was cancelled while it was sent.
+TEST_CASE("a call that is cancelled while it is being sent is cancelled at the target") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  const auto queued = fixture.Send("queued");
+  fixture.client.after_send = [&] { queued->Cancel(); };
+  fixture.client.End(1, http_response{200, {}, ""});
+  REQUIRE(fixture.client.last_id == 2);
+  CHECK(fixture.client.open.empty());
+  REQUIRE(fixture.results.size() == 2);
+  CHECK(fixture.LastFailure() == error_kind::kCancelled);
+  CHECK(fixture.executor.Status().running == 0);
+}
+
 // Guards against a refusal that uses up the attempts with which the call could run elsewhere.
 TEST_CASE("a call that is refused as not run returns its attempts") {
   executor_fixture fixture;
