--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -181,10 +181,10 @@
     return std::async(std::launch::async, [this, path = std::move(path)] { return Get(path); });
   }
 
-  void AnnounceTarget() const {
+  void AnnounceTarget(int slots = 500) const {
     const std::string body =
-        absl::StrCat(R"({"service":")", settings.daemon_id,
-                     R"(","incarnation":1,"slots":500,"address":")", target_address, "\"}");
+        absl::StrCat(R"({"service":")", settings.daemon_id, R"(","incarnation":1,"slots":)", slots,
+                     R"(,"address":")", target_address, "\"}");
     const raw_socket connection = raw_socket::Connect(PortOf(settings.listen));
     connection.Write(absl::StrCat(
         "POST /teaseljunction/v1/target HTTP/1.1\r\nHost: test\r\nContent-Length: ", body.size(),
@@ -395,6 +395,19 @@
   CHECK(running.get().status == 200);
 }
 
+// Guards against a stop of which other daemons and the provider learn only when it refuses them.
+TEST_CASE("other daemons learn of a stop at its start") {
+  const planned_stop_fixture fixture(absl::Seconds(5));
+  fixture.near->daemon->RequestStop();
+  REQUIRE(WaitUntil([&] {
+    for (const daemon_announcement& known :
+         fixture.far->daemon->Components().node.Status().directory) {
+      if (known.daemon_id == "near") return known.draining;
+    }
+    return false;
+  }));
+}
+
 // Guards against calls of other daemons that prolong the stop until they are given up.
 TEST_CASE("a call of another daemon after the drain delay is refused") {
   const planned_stop_fixture fixture(absl::Milliseconds(200));
@@ -485,4 +498,40 @@
   CHECK(run.get());
 }
 
+// Guards against calls of other daemons that are lost with their connection although their target
+// has not got them.
+TEST_CASE("a queued call is refused as not run when the drain delay is over") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200));
+  fixture.near->AnnounceTarget(1);
+  auto running = fixture.near->GetAsync("/near/held");
+  REQUIRE(WaitUntil([&] { return fixture.near->target.HasReceived("/near/held"); }));
+  const auto peers = rpc_peer_client_builder().Threads(1).Build();
+  outcome<call_answer> answer = call_answer{};
+  absl::Notification done;
+  peers->Execute(fixture.near->settings.rpc_listen,
+                 {.request_id = "queued",
+                  .service = "near",
+                  .method = "GET",
+                  .path = "/near/queued",
+                  .priority = request_priority::kCritical,
+                  .depth = 1,
+                  .time_left = kWaitLimit,
+                  .route = "near",
+                  .max_wait = kWaitLimit},
+                 kWaitLimit, [&](execute_result executed) {
+                   answer = std::move(executed.answer);
+                   done.Notify();
+                 });
+  REQUIRE(WaitUntil(
+      [&] { return fixture.near->daemon->Components().node.Status().calls_queued == 1; }));
+  fixture.near->daemon->RequestStop();
+  done.WaitForNotification();
+  REQUIRE(answer.index() == 1);
+  const auto& failure = std::get<error>(answer);
+  INFO(AnswerFor(failure.kind).name << " " << failure.detail);
+  CHECK(failure.kind == error_kind::kDraining);
+  CHECK_FALSE(fixture.near->target.HasReceived("/near/queued"));
+  running.wait();
+}
+
 }  // namespace teaseljunction
--- a/src/gateway/tests/mocks/fake_http_client.h
+++ b/src/gateway/tests/mocks/fake_http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -17,8 +18,10 @@
     last_timeout = timeout;
     last_path = request.path;
     last_request = std::move(request);
-    open[++last_id] = std::move(completion);
-    return last_id;
+    const uint64_t id = ++last_id;
+    open[id] = std::move(completion);
+    if (after_send) std::exchange(after_send, nullptr)();
+    return id;
   }
   void Cancel(uint64_t id) override { End(id, error{error_kind::kCancelled, ""}); }
 
@@ -33,6 +36,8 @@
   absl::Duration last_timeout;
   std::string last_path;
   http_request last_request;
+  /// Runs once, before `Send` returns.
+  std::function<void()> after_send;
 };
 
 }  // namespace teaseljunction
