Choose other ports in planned_stop_test when a daemon can't be built

daemon_test failed in 1 of 10 runs beside another daemon_test and a build (load average 12): planned_stop_test.cc:166, the build of a daemon of the fixture failed, before the case had begun. The error was not printed; the likely cause is a port that another process took between UnusedAddress and the build, since the fixture chose six ports before it bound any of them.

The fixture now chooses the ports of a daemon directly before its build and, if the build fails, tries again with others, ten times at most. The cases are unchanged. daemon_test: 236 assertions in 16 cases passed (1 run).

--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr absl::Duration kWaitLimit = absl::Seconds(20);
+constexpr int kMaxBuildAttempts = 10;
 constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
 constexpr absl::Duration kRequestInterval = absl::Milliseconds(50);
 // Keeps the number of held requests below the concurrency limit of a new target.
@@ -153,11 +154,19 @@
 
 // One host: a daemon with its target.
 struct host {
-  explicit host(daemon_settings used) : settings(std::move(used)) {
+  // Another process can take an unused port before the daemon does; then `make_settings` is called
+  // again.
+  explicit host(const std::function<daemon_settings()>& make_settings) {
     target_server =
         http_server_builder().Address("127.0.0.1:0").Threads(1).Handler(&target).Build();
     target_address = absl::StrCat("127.0.0.1:", Require(target_server->Start()));
-    daemon = Require(daemon_builder().WithSettings(settings).Build());
+    for (int i = 0; daemon == nullptr && i < kMaxBuildAttempts; ++i) {
+      settings = make_settings();
+      auto built = Capture<std::unique_ptr<daemon_process>>(
+          [this] { return daemon_builder().WithSettings(settings).Build(); });
+      if (built.index() == 0) daemon = std::get<0>(std::move(built));
+    }
+    REQUIRE(daemon != nullptr);
     daemon->Start();
   }
 
@@ -194,7 +203,7 @@
     return status.configuration_fresh && status.manifest_version == 1 && targets == 2;
   }
 
-  const daemon_settings settings;
+  daemon_settings settings;
   holding_target target;
   std::unique_ptr<http_server> target_server;
   std::string target_address;
@@ -208,15 +217,19 @@
   explicit planned_stop_fixture(absl::Duration drain_delay)
       : data_directory_(std::filesystem::temp_directory_path() /
                         absl::StrCat("planned-stop-test-", getpid())) {
-    std::filesystem::remove_all(data_directory_);
-    daemon_settings far_settings = SettingsFor("far", drain_delay);
-    far_settings.control = true;
-    far_settings.data_dir = data_directory_.string();
-    far_settings.control_peers = {far_settings.rpc_listen};
-    daemon_settings near_settings = SettingsFor("near", drain_delay);
-    near_settings.control_peers = far_settings.control_peers;
-    far = std::make_unique<host>(std::move(far_settings));
-    near = std::make_unique<host>(std::move(near_settings));
+    far = std::make_unique<host>([&] {
+      std::filesystem::remove_all(data_directory_);
+      daemon_settings settings = SettingsFor("far", drain_delay);
+      settings.control = true;
+      settings.data_dir = data_directory_.string();
+      settings.control_peers = {settings.rpc_listen};
+      return settings;
+    });
+    near = std::make_unique<host>([&] {
+      daemon_settings settings = SettingsFor("near", drain_delay);
+      settings.control_peers = far->settings.control_peers;
+      return settings;
+    });
     near->AnnounceTarget();
     far->AnnounceTarget();
     SubmitManifest();
