--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -313,6 +313,16 @@
   std::future<bool> run_;
 };
 
+// Stops the near daemon while its target is idle. Returns the answer to a request on a kept
+// connection that is sent once requests on new connections are no longer served.
+caller_answer RequestOnKeptConnection(const planned_stop_fixture& fixture, absl::string_view path) {
+  const raw_socket kept = raw_socket::Connect(PortOf(fixture.near->settings.listen));
+  REQUIRE(Exchange(kept, "/far/quick").status == 200);
+  fixture.near->daemon->RequestStop();
+  while (fixture.near->Get("/far/quick").status == 200) absl::SleepFor(kRequestInterval);
+  return Exchange(kept, path);
+}
+
 }  // namespace
 
 // Guards against a request that is taken late in a stop and given up when the stop ends.
@@ -354,11 +364,7 @@
 // delay.
 TEST_CASE("a request on a kept connection after the drain delay is refused") {
   const planned_stop_fixture fixture(absl::Milliseconds(200));
-  const raw_socket kept = raw_socket::Connect(PortOf(fixture.near->settings.listen));
-  REQUIRE(Exchange(kept, "/far/quick").status == 200);
-  fixture.near->daemon->RequestStop();
-  while (fixture.near->Get("/far/quick").status == 200) absl::SleepFor(kRequestInterval);
-  const caller_answer refused = Exchange(kept, "/far/late");
+  const caller_answer refused = RequestOnKeptConnection(fixture, "/far/late");
   INFO(refused.text);
   CHECK(refused.IsDrainingRefusal());
   CHECK(refused.ClosesConnection());
@@ -461,11 +467,7 @@
 TEST_CASE("an open route is refused after the drain delay when no call runs at the target") {
   const planned_stop_fixture fixture(absl::Milliseconds(200), absl::Seconds(5),
                                      &DecodeWithInternalRoutes);
-  const raw_socket kept = raw_socket::Connect(PortOf(fixture.near->settings.listen));
-  REQUIRE(Exchange(kept, "/far/quick").status == 200);
-  fixture.near->daemon->RequestStop();
-  while (fixture.near->Get("/far/quick").status == 200) absl::SleepFor(kRequestInterval);
-  const caller_answer refused = Exchange(kept, "/far/late");
+  const caller_answer refused = RequestOnKeptConnection(fixture, "/far/late");
   INFO(refused.text);
   CHECK(refused.IsDrainingRefusal());
   CHECK_FALSE(fixture.far->target.HasReceived("/far/late"));
