--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -306,7 +306,7 @@
   LOG(INFO) << "daemon: " << step << " after "
             << absl::ToInt64Milliseconds(clock_.Now() - drain_started_at_)
             << " ms; target calls: " << executor.running << " running, " << executor.queued
-            << " queued; proposals: " << pending_work_.Count() << ".";
+            << " queued; pending outcomes: " << pending_work_.Count() << ".";
 }
 
 bool daemon_process_impl::WaitUntilIdle(absl::Time deadline) {
