--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr absl::Duration kWaitLimit = absl::Seconds(20);
+constexpr int kMaxBuildAttempts = 10;
 constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
 constexpr absl::Duration kRequestInterval = absl::Milliseconds(50);
 // Keeps the number of held requests below the concurrency limit of a new target.
@@ -35,7 +36,11 @@
   "routes": [{"name": "near", "method": "GET", "path": "/near/*", "service": "near",
               "idempotent": true, "open": true, "timeoutMs": 60000},
              {"name": "far", "method": "GET", "path": "/far/*", "service": "far",
-              "idempotent": true, "open": true, "timeoutMs": 60000}]})";
+              "idempotent": true, "open": true, "timeoutMs": 60000},
+             {"name": "order", "method": "POST", "path": "/order/*", "service": "far",
+              "idempotent": false, "open": true, "timeoutMs": 60000}]})";
+constexpr absl::string_view kOrder =
+    "POST /order/held HTTP/1.1\r\nHost: test\r\nIdempotency-Key: one\r\nContent-Length: 0\r\n\r\n";
 
 bool WaitUntil(const std::function<bool()>& condition) {
   const absl::Time limit = absl::Now() + kWaitLimit;
@@ -135,7 +140,8 @@
   return static_cast<uint16_t>(port);
 }
 
-daemon_settings SettingsFor(const std::string& id, absl::Duration drain_delay) {
+daemon_settings SettingsFor(const std::string& id, absl::Duration drain_delay,
+                            absl::Duration drain_timeout) {
   daemon_settings settings;
   settings.listen = UnusedAddress();
   settings.operators_listen = UnusedAddress();
@@ -145,7 +151,7 @@
   settings.freshness_lease = absl::Seconds(5);
   settings.target_lease = absl::Minutes(5);
   settings.drain_delay = drain_delay;
-  settings.drain_timeout = absl::Seconds(5);
+  settings.drain_timeout = drain_timeout;
   settings.idle_connection_linger = absl::Seconds(5);
   settings.max_body_bytes = size_t{1} << 20;
   return settings;
@@ -153,11 +159,19 @@
 
 // One host: a daemon with its target.
 struct host {
-  explicit host(daemon_settings used) : settings(std::move(used)) {
+  // Another process can take an unused port before the daemon does; then `make_settings` is called
+  // again.
+  host(const std::function<daemon_settings()>& make_settings, manifest_decoder decode) {
     target_server =
         http_server_builder().Address("127.0.0.1:0").Threads(1).Handler(&target).Build();
     target_address = absl::StrCat("127.0.0.1:", Require(target_server->Start()));
-    daemon = Require(daemon_builder().WithSettings(settings).Build());
+    for (int i = 0; daemon == nullptr && i < kMaxBuildAttempts; ++i) {
+      settings = make_settings();
+      auto built = Capture<std::unique_ptr<daemon_process>>(
+          [&] { return daemon_builder().WithSettings(settings).WithDecoder(decode).Build(); });
+      if (built.index() == 0) daemon = std::get<0>(std::move(built));
+    }
+    REQUIRE(daemon != nullptr);
     daemon->Start();
   }
 
@@ -176,10 +190,10 @@
     return std::async(std::launch::async, [this, path = std::move(path)] { return Get(path); });
   }
 
-  void AnnounceTarget() const {
+  void AnnounceTarget(int slots = 500) const {
     const std::string body =
-        absl::StrCat(R"({"service":")", settings.daemon_id,
-                     R"(","incarnation":1,"slots":500,"address":")", target_address, "\"}");
+        absl::StrCat(R"({"service":")", settings.daemon_id, R"(","incarnation":1,"slots":)", slots,
+                     R"(,"address":")", target_address, "\"}");
     const raw_socket connection = raw_socket::Connect(PortOf(settings.listen));
     connection.Write(absl::StrCat(
         "POST /teaseljunction/v1/target HTTP/1.1\r\nHost: test\r\nContent-Length: ", body.size(),
@@ -194,29 +208,46 @@
     return status.configuration_fresh && status.manifest_version == 1 && targets == 2;
   }
 
-  const daemon_settings settings;
+  daemon_settings settings;
   holding_target target;
   std::unique_ptr<http_server> target_server;
   std::string target_address;
   std::unique_ptr<daemon_process> daemon;
 };
 
+// Decodes a manifest whose open routes are meant for child calls, which have no context token.
+result<manifest> DecodeWithInternalRoutes(absl::string_view text) {
+  BOOST_LEAF_AUTO(decoded, DecodeManifest(text));
+  for (route& listed : decoded.routes) listed.internal = listed.idempotent;
+  return decoded;
+}
+
 // Two hosts with a target each, named after the service of their target. The near daemon is stopped
 // by the tests; the far daemon is the control group and stays.
 class planned_stop_fixture {
  public:
-  explicit planned_stop_fixture(absl::Duration drain_delay)
+  explicit planned_stop_fixture(absl::Duration drain_delay,
+                                absl::Duration drain_timeout = absl::Seconds(5),
+                                manifest_decoder decode = &DecodeManifest)
       : data_directory_(std::filesystem::temp_directory_path() /
                         absl::StrCat("planned-stop-test-", getpid())) {
-    std::filesystem::remove_all(data_directory_);
-    daemon_settings far_settings = SettingsFor("far", drain_delay);
-    far_settings.control = true;
-    far_settings.data_dir = data_directory_.string();
-    far_settings.control_peers = {far_settings.rpc_listen};
-    daemon_settings near_settings = SettingsFor("near", drain_delay);
-    near_settings.control_peers = far_settings.control_peers;
-    far = std::make_unique<host>(std::move(far_settings));
-    near = std::make_unique<host>(std::move(near_settings));
+    far = std::make_unique<host>(
+        [&] {
+          std::filesystem::remove_all(data_directory_);
+          daemon_settings settings = SettingsFor("far", drain_delay, drain_timeout);
+          settings.control = true;
+          settings.data_dir = data_directory_.string();
+          settings.control_peers = {settings.rpc_listen};
+          return settings;
+        },
+        decode);
+    near = std::make_unique<host>(
+        [&] {
+          daemon_settings settings = SettingsFor("near", drain_delay, drain_timeout);
+          settings.control_peers = far->settings.control_peers;
+          return settings;
+        },
+        decode);
     near->AnnounceTarget();
     far->AnnounceTarget();
     SubmitManifest();
@@ -282,6 +313,16 @@
   std::future<bool> run_;
 };
 
+// Stops the near daemon while its target is idle. Returns the answer to a request on a kept
+// connection that is sent once requests on new connections are no longer served.
+caller_answer RequestOnKeptConnection(const planned_stop_fixture& fixture, absl::string_view path) {
+  const raw_socket kept = raw_socket::Connect(PortOf(fixture.near->settings.listen));
+  REQUIRE(Exchange(kept, "/far/quick").status == 200);
+  fixture.near->daemon->RequestStop();
+  while (fixture.near->Get("/far/quick").status == 200) absl::SleepFor(kRequestInterval);
+  return Exchange(kept, path);
+}
+
 }  // namespace
 
 // Guards against a request that is taken late in a stop and given up when the stop ends.
@@ -323,11 +364,7 @@
 // delay.
 TEST_CASE("a request on a kept connection after the drain delay is refused") {
   const planned_stop_fixture fixture(absl::Milliseconds(200));
-  const raw_socket kept = raw_socket::Connect(PortOf(fixture.near->settings.listen));
-  REQUIRE(Exchange(kept, "/far/quick").status == 200);
-  fixture.near->daemon->RequestStop();
-  while (fixture.near->Get("/far/quick").status == 200) absl::SleepFor(kRequestInterval);
-  const caller_answer refused = Exchange(kept, "/far/late");
+  const caller_answer refused = RequestOnKeptConnection(fixture, "/far/late");
   INFO(refused.text);
   CHECK(refused.IsDrainingRefusal());
   CHECK(refused.ClosesConnection());
@@ -381,6 +418,19 @@
   CHECK(running.get().status == 200);
 }
 
+// Guards against a stop of which other daemons and the provider learn only when it refuses them.
+TEST_CASE("other daemons learn of a stop at its start") {
+  const planned_stop_fixture fixture(absl::Seconds(5));
+  fixture.near->daemon->RequestStop();
+  REQUIRE(WaitUntil([&] {
+    for (const daemon_announcement& known :
+         fixture.far->daemon->Components().node.Status().directory) {
+      if (known.daemon_id == "near") return known.draining;
+    }
+    return false;
+  }));
+}
+
 // Guards against calls of other daemons that prolong the stop until they are given up.
 TEST_CASE("a call of another daemon after the drain delay is refused") {
   const planned_stop_fixture fixture(absl::Milliseconds(200));
@@ -413,4 +463,94 @@
   CHECK(running.get().status == 200);
 }
 
+// Guards against callers of open routes that are taken for child calls until the stop ends.
+TEST_CASE("an open route is refused after the drain delay when no call runs at the target") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200), absl::Seconds(5),
+                                     &DecodeWithInternalRoutes);
+  const caller_answer refused = RequestOnKeptConnection(fixture, "/far/late");
+  INFO(refused.text);
+  CHECK(refused.IsDrainingRefusal());
+  CHECK_FALSE(fixture.far->target.HasReceived("/far/late"));
+}
+
+// Guards against an order whose repeat is refused as in progress, because the daemon that holds its
+// claim stopped before its outcome was known.
+TEST_CASE("a stop waits for the outcome of an order whose caller has left") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200));
+  {
+    const raw_socket caller = raw_socket::Connect(PortOf(fixture.near->settings.listen));
+    caller.Write(kOrder);
+    REQUIRE(WaitUntil([&] { return fixture.far->target.HasReceived("/order/held"); }));
+  }
+  // The daemon has noticed the disconnect when its connection is closed.
+  fixture.near->daemon->RequestStop();
+  while (fixture.near->Get("/far/quick").status != 0) absl::SleepFor(kRequestInterval);
+  // Without an open connection the stop takes less than this time unless it waits for the order.
+  for (int i = 0; i < 20 && !fixture.HasStopped(); ++i) absl::SleepFor(kRequestInterval);
+  CHECK_FALSE(fixture.HasStopped());
+  fixture.Release();
+  REQUIRE(WaitUntil([&] { return fixture.HasStopped(); }));
+  const raw_socket repeat = raw_socket::Connect(PortOf(fixture.far->settings.listen));
+  repeat.Write(kOrder);
+  CHECK(absl::StrContains(repeat.ReadUntil("}"), " 200 "));
+}
+
+// Guards against a leader that stops only at the end of its time because daemons keep calling it.
+TEST_CASE("syncs of other daemons do not prolong the stop of the leader") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200), 2 * kWaitLimit);
+  const auto peers = rpc_peer_client_builder().Threads(1).Build();
+  const sync_request sync{.daemon = fixture.near->daemon->Components().node.Status().daemon};
+  auto run = std::async(std::launch::async, [&] { return fixture.far->daemon->Run(); });
+  auto syncs = std::async(std::launch::async, [&] {
+    int count = 0;
+    for (; !IsReady(run); ++count) {
+      absl::Notification done;
+      peers->Sync(fixture.far->settings.rpc_listen, sync, absl::Seconds(1),
+                  [&](const outcome<sync_response>&) { done.Notify(); });
+      done.WaitForNotification();
+    }
+    return count;
+  });
+  fixture.far->daemon->RequestStop();
+  CHECK(WaitUntil([&] { return IsReady(run); }));
+  CHECK(syncs.get() > 0);
+  CHECK(run.get());
+}
+
+// Guards against calls of other daemons that are lost with their connection although their target
+// has not got them.
+TEST_CASE("a queued call is refused as not run when the drain delay is over") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200));
+  fixture.near->AnnounceTarget(1);
+  auto running = fixture.near->GetAsync("/near/held");
+  REQUIRE(WaitUntil([&] { return fixture.near->target.HasReceived("/near/held"); }));
+  const auto peers = rpc_peer_client_builder().Threads(1).Build();
+  outcome<call_answer> answer = call_answer{};
+  absl::Notification done;
+  peers->Execute(fixture.near->settings.rpc_listen,
+                 {.request_id = "queued",
+                  .service = "near",
+                  .method = "GET",
+                  .path = "/near/queued",
+                  .priority = request_priority::kCritical,
+                  .depth = 1,
+                  .time_left = kWaitLimit,
+                  .route = "near",
+                  .max_wait = kWaitLimit},
+                 kWaitLimit, [&](execute_result executed) {
+                   answer = std::move(executed.answer);
+                   done.Notify();
+                 });
+  REQUIRE(WaitUntil(
+      [&] { return fixture.near->daemon->Components().node.Status().calls_queued == 1; }));
+  fixture.near->daemon->RequestStop();
+  done.WaitForNotification();
+  REQUIRE(answer.index() == 1);
+  const auto& failure = std::get<error>(answer);
+  INFO(AnswerFor(failure.kind).name << " " << failure.detail);
+  CHECK(failure.kind == error_kind::kDraining);
+  CHECK_FALSE(fixture.near->target.HasReceived("/near/queued"));
+  running.wait();
+}
+
 }  // namespace teaseljunction
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "common/event_log.h"
 #include "common/log.h"
@@ -12,6 +13,7 @@
 
 // Misdirected Request: the response of a process that is not the one the request was meant for.
 constexpr int kMisdirectedRequestStatus = 421;
+constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerErrorStatus = 500;
 // Maximum delay of an announcement that was sent before the process crashed.
 constexpr absl::Duration kMaxAnnouncementDelay = absl::Milliseconds(200);
@@ -21,6 +23,9 @@
 // Time for which a draining target still accepts calls, for daemons that have not yet learned that
 // it is draining.
 constexpr absl::Duration kDrainGracePeriod = absl::Seconds(1);
+// Time beyond the deadline in which the target can still respond that it has passed. Otherwise the
+// connection would be closed just as the target gives the call up itself.
+constexpr absl::Duration kTargetResponseMargin = absl::Milliseconds(50);
 // One in this many responses reports the cost of its route.
 constexpr uint64_t kResponsesPerCostReport = 4;
 // Size of the headers and bookkeeping of a queued call, counted towards the limit on queue memory.
@@ -40,6 +45,10 @@
   add(header_names.target_id, target.target_id);
   if (header_names.caller_request_id) {
     sent.expected.echoed = {header_names.request_id, request.request_id};
+  } else if (!header_names.context.empty()) {
+    // The request id does not identify one attempt: child calls share that of the entry request.
+    sent.expected.echoed = {header_names.context, std::string(token)};
+    sent.expected.echo_optional = true;
   }
   sent.expected.present = header_names.required_response_header;
   sent.expected.may_end_with_connection = header_names.allow_close_delimited_response;
@@ -54,15 +63,23 @@
     return target_result::kFailed;
   }
   const http_response& received = std::get<http_response>(response);
-  const bool refused = received.status == kMisdirectedRequestStatus ||
-                       FindHeader(received.headers, header_names.not_run).has_value();
+  // Without the id of a process in the request, 421 is an answer of the application.
+  const bool misdirected =
+      received.status == kMisdirectedRequestStatus && !header_names.target_id.empty();
+  const bool shed = received.status >= kFirstErrorStatus &&
+                    FindHeader(received.headers, header_names.not_run).has_value();
+  const bool refused = misdirected || shed;
   return refused ? target_result::kShed : target_result::kAnswered;
 }
 
-outcome<call_answer> ToCallAnswer(outcome<http_response> response, target_result result) {
+outcome<call_answer> ToCallAnswer(outcome<http_response> response, target_result result,
+                                  const call_header_names& header_names) {
   if (result == target_result::kShed) return error{error_kind::kTargetShed, ""};
   if (auto* failure = std::get_if<error>(&response)) return *failure;
   auto& received = std::get<http_response>(response);
+  std::erase_if(received.headers, [&header_names](const http_header& header) {
+    return absl::EqualsIgnoreCase(header.name, header_names.context);
+  });
   return call_answer{received.status, std::move(received.headers), std::move(received.body)};
 }
 
@@ -93,18 +110,21 @@
   {
     absl::MutexLock lock(&mutex_);
     const absl::Time now = deps_.clock.Now();
+    // Announcements can also be late or lost while the process and its calls go on.
+    const bool same_process = lease_.IsLatestIncarnation(announced.incarnation);
     processed = lease_.Announce(announced, now);
-    if (processed == announce_result::kRenewed) {
+    const bool joined =
+        processed == announce_result::kReplaced || processed == announce_result::kJoined;
+    if (processed == announce_result::kRenewed || (joined && same_process)) {
       // The process is still running, so these calls lost their connection for another reason.
       ClearSuspectedLosses(now - kMaxAnnouncementDelay, now);
-    }
-    if (processed == announce_result::kReplaced || processed == announce_result::kJoined) {
+    } else if (joined) {
       HandleTargetLoss(now);
+      admission_.ResetForColdTarget(now);
     }
-    if (processed == announce_result::kReplaced || processed == announce_result::kJoined) {
+    if (joined) {
       LOG(INFO) << "membership: target of service " << announced.service << " at "
                 << announced.address << " joined with incarnation " << announced.incarnation << ".";
-      admission_.ResetForColdTarget(now);
     }
     PollAdmission(work);
   }
@@ -167,14 +187,10 @@
 }
 
 void target_executor::StopAccepting() {
-  absl::MutexLock lock(&mutex_);
-  accepting_ = false;
-}
-
-void target_executor::RefuseQueuedCalls() {
   deferred_work work;
   {
     absl::MutexLock lock(&mutex_);
+    accepting_ = false;
     const absl::Time now = deps_.clock.Now();
     absl::erase_if(tasks_, [&](const auto& entry) {
       // A call that is about to start has already left the queue.
@@ -325,7 +341,8 @@
   const uint64_t http_id = deps_.client.Send(
       target->address,
       RequestForTarget(started->request, started->token, *target, time_left, deps_.headers),
-      !started->request.idempotent, time_left, [this, call_id](outcome<http_response> response) {
+      !started->request.idempotent, time_left + kTargetResponseMargin,
+      [this, call_id](outcome<http_response> response) {
         OnResponse(call_id, std::move(response));
       });
   bool cancelled = false;
@@ -371,7 +388,7 @@
              {"status", failure != nullptr ? 0 : std::get<http_response>(response).status},
              {"target_ms", service_time}});
   }
-  Deliver(*finished, ToCallAnswer(std::move(response), result), service_time);
+  Deliver(*finished, ToCallAnswer(std::move(response), result, deps_.headers), service_time);
   RunDeferred(std::move(work));
 }
 
--- a/src/gateway/tests/mocks/fake_http_client.h
+++ b/src/gateway/tests/mocks/fake_http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -11,12 +12,16 @@
 /// Records requests sent to the target and lets the test complete them.
 class fake_http_client : public http_client {
  public:
-  uint64_t Send(absl::string_view, http_request request, bool at_most_once, absl::Duration,
+  uint64_t Send(absl::string_view, http_request request, bool at_most_once, absl::Duration timeout,
                 absl::AnyInvocable<void(outcome<http_response>)> completion) override {
     last_at_most_once = at_most_once;
+    last_timeout = timeout;
     last_path = request.path;
-    open[++last_id] = std::move(completion);
-    return last_id;
+    last_request = std::move(request);
+    const uint64_t id = ++last_id;
+    open[id] = std::move(completion);
+    if (after_send) std::exchange(after_send, nullptr)();
+    return id;
   }
   void Cancel(uint64_t id) override { End(id, error{error_kind::kCancelled, ""}); }
 
@@ -28,7 +33,11 @@
   std::map<uint64_t, absl::AnyInvocable<void(outcome<http_response>)>> open;
   uint64_t last_id = 0;
   bool last_at_most_once = false;
+  absl::Duration last_timeout;
   std::string last_path;
+  http_request last_request;
+  /// Runs once, before `Send` returns.
+  std::function<void()> after_send;
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -1,10 +1,16 @@
 #include "gateway/target_executor.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <future>
+#include <set>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "gateway/tests/mocks/target_executor_environment.h"
+#include "http/curl_client.h"
+#include "http/tests/raw_socket.h"
 
 namespace teaseljunction {
 namespace {
@@ -34,11 +40,140 @@
     });
   }
 
+  const call_answer& LastAnswer() const { return std::get<call_answer>(results.back().answer); }
+
   error_kind LastFailure() const { return std::get<error>(results.back().answer).kind; }
 };
 
+/// Returns "status body" of the answer, or the kind of the error.
+std::string Summary(const execute_result& executed) {
+  if (const auto* failure = std::get_if<error>(&executed.answer)) {
+    return std::string(AnswerFor(failure->kind).name);
+  }
+  const auto& answer = std::get<call_answer>(executed.answer);
+  return absl::StrCat(answer.status, " ", answer.body);
+}
+
+/// An executor that sends its calls over real connections.
+struct connected_executor : target_executor_environment {
+  std::unique_ptr<curl_client> connections = curl_client_builder().Threads(1).Build();
+  target_executor connected{
+      target_executor_dependencies{time, time, contexts, *connections, quarantine, headers, graph},
+      "d1", admission_controller_builder().Build()};
+
+  explicit connected_executor(const std::string& address) {
+    connected.HandleAnnouncement({"stock", 1, 8, false, 0, address});
+  }
+  // Completes the calls while the executor still exists.
+  ~connected_executor() { connections.reset(); }
+
+  std::string Send(const std::string& request_id) {
+    call request;
+    request.service = "stock";
+    request.request_id = request_id;
+    request.method = "GET";
+    request.path = "/stock/1";
+    request.idempotent = true;
+    request.time_left = absl::Seconds(10);
+    std::promise<execute_result> finished;
+    connected.Execute(
+        request, [&finished](execute_result executed) { finished.set_value(std::move(executed)); });
+    return Summary(finished.get_future().get());
+  }
+};
+
 }  // namespace
 
+// Guards against "not run" for a request that its target ran, after the target has sent an earlier
+// refusal once more.
+TEST_CASE("a stale refusal of a target is not reported as not run") {
+  const bool echoes = GENERATE(true, false);
+  std::atomic<int> runs = 0;
+  raw_server target([&](raw_socket& connection) {
+    std::string refusal;
+    while (true) {
+      const std::string request = connection.ReadUntil("\r\n\r\n");
+      if (request.empty()) return;
+      const size_t context = request.find("Teaseljunction-Context: ");
+      const std::string echo =
+          echoes ? request.substr(context, request.find('\r', context) - context) + "\r\n" : "";
+      if (refusal.empty()) {
+        refusal = "HTTP/1.1 503 Shed\r\nTeaseljunction-Shed: true\r\n" + echo +
+                  "Content-Length: 0\r\n\r\n";
+        connection.Write(refusal);
+        continue;
+      }
+      ++runs;
+      connection.Write(refusal);
+      connection.Write("HTTP/1.1 200 OK\r\n" + echo + "Content-Length: 4\r\n\r\ndone");
+    }
+  });
+  connected_executor fixture(target.address());
+  CHECK(fixture.Send("r1") == "target-shed");
+  const std::string second = fixture.Send("r2");
+  // A target that does not repeat ids gets a new connection for each request, so it refuses again.
+  CHECK(second == (echoes ? "target-crashed" : "target-shed"));
+  CHECK(runs == (echoes ? 1 : 0));
+  CHECK(target.connections() == (echoes ? 1 : 2));
+}
+
+// Guards against accepting the answer to another attempt or child call of the same request, and
+// against passing the token of a call on to its caller.
+TEST_CASE("each attempt at a target is identified by a value of its own") {
+  executor_fixture fixture;
+  std::set<std::string> values;
+  for (int i = 0; i < 3; ++i) {
+    fixture.Send("f");
+    const http_request& sent = fixture.client.last_request;
+    const http_header& echoed = sent.expected.echoed;
+    CHECK(echoed.name == fixture.headers.context);
+    CHECK(FindHeader(sent.headers, echoed.name) == absl::string_view(echoed.value));
+    CHECK(sent.expected.echo_optional);
+    values.insert(echoed.value);
+    fixture.client.End(fixture.client.last_id,
+                       http_response{200, {{echoed.name, echoed.value}, {"X-Kept", "1"}}, ""});
+    REQUIRE(fixture.LastAnswer().headers.size() == 1);
+    CHECK(fixture.LastAnswer().headers[0].name == "X-Kept");
+  }
+  CHECK(values.size() == 3);
+}
+
+// Guards against "not run" for a response that does not clearly say so.
+TEST_CASE("only a refusal that the interface defines counts as not run") {
+  struct response_case {
+    int status;
+    bool has_mark;
+    bool names_target;
+    const char* expected;
+  };
+  const std::vector<response_case> cases = {
+      {503, true, false, "target-shed"}, {429, true, true, "target-shed"},
+      {421, false, true, "target-shed"}, {421, false, false, "421 "},
+      {503, false, false, "503 "},       {200, true, false, "200 "},
+  };
+  for (const response_case& row : cases) {
+    INFO(row.status << ", mark " << row.has_mark << ", target named " << row.names_target);
+    executor_fixture fixture;
+    if (row.names_target) fixture.headers.target_id = "X-Target";
+    fixture.Send("f");
+    http_response response{row.status, {}, ""};
+    if (row.has_mark) response.headers.push_back({fixture.headers.not_run, "true"});
+    fixture.client.End(fixture.client.last_id, std::move(response));
+    CHECK(Summary(fixture.results.back()) == row.expected);
+  }
+}
+
+// Guards against accepting responses without an id from targets that always repeat the caller's.
+TEST_CASE("targets that repeat the caller's request id must do so in every response") {
+  executor_fixture fixture;
+  fixture.headers.caller_request_id = true;
+  fixture.headers.request_id = "X-Id";
+  fixture.headers.context = "";
+  fixture.Send("f");
+  CHECK(fixture.client.last_request.expected.echoed.name == "X-Id");
+  CHECK_FALSE(fixture.client.last_request.expected.echo_optional);
+}
+
 // Guards against a crash that goes unnoticed because the lost call ends before the loss of the
 // process is known. A request that crashed its targets was then never quarantined.
 TEST_CASE("a request that was lost with its target becomes a suspect") {
@@ -131,6 +266,16 @@
   CHECK(draining.executor.CurrentTarget()->draining);
 }
 
+// Guards against cutting off a target that responds at its deadline that it has given the call up.
+TEST_CASE("a target has time to respond after the deadline that it is given") {
+  executor_fixture fixture;
+  fixture.Send("f");
+  const auto given =
+      FindHeader(fixture.client.last_request.headers, fixture.headers.deadline).value_or("");
+  CHECK(given == "5000");
+  CHECK(fixture.client.last_timeout > absl::Seconds(5));
+}
+
 // Guards against delivering a result twice or after the call was cancelled.
 TEST_CASE("each call ends exactly once") {
   executor_fixture fixture;
@@ -163,7 +308,7 @@
   REQUIRE(busy.running > 0);
   REQUIRE(busy.queued > 0);
   REQUIRE(fixture.results.empty());
-  fixture.executor.RefuseQueuedCalls();
+  fixture.executor.StopAccepting();
   CHECK(fixture.results.size() == busy.queued);
   CHECK(fixture.LastFailure() == error_kind::kDraining);
   CHECK(fixture.executor.Status().queued == 0);
@@ -171,6 +316,53 @@
   CHECK(fixture.client.last_id == busy.running);
 }
 
+// Guards against a refusal as not run of a call that is sent to its target at the same moment.
+TEST_CASE("a call that has left the queue when the queue is refused runs and is answered") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  fixture.Send("queued");
+  REQUIRE(fixture.executor.Status().queued == 1);
+  // The end of the first call admits the second one, which starts after the result was delivered.
+  fixture.after_result = [&] { fixture.executor.StopAccepting(); };
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.results.size() == 1);
+  REQUIRE(fixture.client.last_id == 2);
+  fixture.client.End(2, http_response{200, {}, ""});
+  REQUIRE(fixture.results.size() == 2);
+  CHECK(fixture.results.back().answer.index() == 0);
+  CHECK(fixture.executor.Status().running == 0);
+}
+
+// Guards against a call that goes on at its target although it was cancelled while it was sent.
+TEST_CASE("a call that is cancelled while it is being sent is cancelled at the target") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  const auto queued = fixture.Send("queued");
+  fixture.client.after_send = [&] { queued->Cancel(); };
+  fixture.client.End(1, http_response{200, {}, ""});
+  REQUIRE(fixture.client.last_id == 2);
+  CHECK(fixture.client.open.empty());
+  REQUIRE(fixture.results.size() == 2);
+  CHECK(fixture.LastFailure() == error_kind::kCancelled);
+  CHECK(fixture.executor.Status().running == 0);
+}
+
+// Guards against a refusal that uses up the attempts with which the call could run elsewhere.
+TEST_CASE("a call that is refused as not run returns its attempts") {
+  executor_fixture fixture;
+  fixture.executor.StopAccepting();
+  call request;
+  request.service = "stock";
+  request.attempt_budget = 5;
+  request.time_left = absl::Seconds(5);
+  uint32_t unused_attempts = 0;
+  fixture.executor.Execute(
+      request, [&](const execute_result& executed) { unused_attempts = executed.unused_attempts; });
+  CHECK(unused_attempts == 5);
+}
+
 // Guards against a planned stop that waits until its deadline for a call that never ran.
 TEST_CASE("a call that is cancelled between admission and start does not stay in flight") {
   executor_fixture fixture;
@@ -245,4 +437,19 @@
   CHECK(fixture.executor.TakeCrashReports().empty());
 }
 
+// Guards against crash reports for calls at a target whose announcements were only late, and
+// against a planned stop that doesn't wait for them.
+TEST_CASE("calls stay in flight when their target announces itself again after its lease") {
+  executor_fixture fixture;
+  fixture.Send("long");
+  fixture.time.AdvanceBy(absl::Seconds(4));
+  REQUIRE_FALSE(fixture.executor.CurrentTarget());
+  CHECK(fixture.Announce(1) == announce_result::kJoined);
+  CHECK(fixture.executor.TakeCrashReports().empty());
+  CHECK(fixture.executor.Status().running == 1);
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.results.size() == 1);
+  CHECK(fixture.executor.Status().running == 0);
+}
+
 }  // namespace teaseljunction
--- a/src/rpc/internal/server_thread_worker.cc
+++ b/src/rpc/internal/server_thread_worker.cc
@@ -2,7 +2,9 @@
 
 #include <utility>
 
+#include "absl/synchronization/notification.h"
 #include "event_loop/kj_log_callback.h"
+#include "rpc/internal/kj_support.h"
 
 namespace teaseljunction {
 
@@ -43,8 +45,13 @@
   server_connections connections(io, settings_, service_, listen_fd_, calls, limiter_);
   stop_ = &stop;
   connections_ = &connections;
+  const auto log_failure = [this](const kj::Exception& failure) {
+    LogRpcWarning(limiter_, failure.getDescription().cStr());
+  };
   kj::Promise<void> tasks =
-      queue_->Run(io.unixEventPort, [](absl::AnyInvocable<void()> task) { task(); })
+      queue_
+          ->Run(
+              io.unixEventPort, [](absl::AnyInvocable<void()> task) { task(); }, log_failure)
           .eagerlyEvaluate(nullptr);
   stop.promise.wait(io.waitScope);
   connections.CloseAll();
@@ -59,4 +66,15 @@
   Post([this] { connections_->StopAccepting(); });
 }
 
+size_t server_thread_worker::QueuedBytes() {
+  size_t bytes = 0;
+  absl::Notification done;
+  Post([&] {
+    bytes = connections_->QueuedBytes();
+    done.Notify();
+  });
+  done.WaitForNotification();
+  return bytes;
+}
+
 }  // namespace teaseljunction
