Report the drain of the RPC server by the moment that ended it

Cause: Drain ended when no call was running, and then looked again to report its result. A proposal that arrived in between, as they do at a leader all the time, was taken for a call that had not ended.

The state that ends the wait is now the result.

--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -70,12 +70,13 @@
     for (const auto& worker : workers_) worker->StopAccepting();
     uint64_t executions = call_counts_.executions;
     absl::Time quiet_since = clock.Now();
-    while (clock.Now() < deadline && (IsBusy() || clock.Now() - quiet_since < kQuietPeriod)) {
+    bool drained = false;
+    while (!drained && clock.Now() < deadline) {
       absl::SleepFor(kPollInterval);
       const uint64_t previous = std::exchange(executions, call_counts_.executions);
       if (previous != executions) quiet_since = clock.Now();
+      drained = clock.Now() - quiet_since >= kQuietPeriod && !IsBusy();
     }
-    const bool drained = !IsBusy();
     Stop();
     return drained;
   }
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -37,7 +37,8 @@
 };
 
 /// Answers a call with its own body from another thread. A call with the path "/keep" is held: its
-/// completion is stored for the test. A call with the path "/throw" throws.
+/// completion is stored for the test. A call with the path "/throw" throws. The release of a claim
+/// is answered after a short time.
 class fake_service : public node_service {
  public:
   std::shared_ptr<call_execution> Execute(call request, execute_completion completion) override {
@@ -62,7 +63,11 @@
   void Propose(command proposal, absl::AnyInvocable<void(propose_response)> completion) override {
     propose_response response;
     response.result.applied = std::holds_alternative<claim>(proposal);
-    completion(std::move(response));
+    if (!std::holds_alternative<release_claim>(proposal)) return completion(std::move(response));
+    std::thread([response = std::move(response), completion = std::move(completion)]() mutable {
+      absl::SleepFor(absl::Milliseconds(2));
+      completion(std::move(response));
+    }).detach();
   }
   void HandleRaftMessage(std::string message) override {
     absl::MutexLock lock(&mutex);
@@ -398,6 +403,28 @@
   CHECK(running.service.cancelled == 0);
 }
 
+// Guards against a stop of a leader that is reported as out of time because proposals keep
+// arriving.
+TEST_CASE("drain succeeds although proposals keep arriving") {
+  running_server running;
+  const auto client = MakeClient();
+  std::atomic<bool> ended = false;
+  std::vector<std::thread> proposers;
+  for (int i = 0; i < 3; ++i) {
+    proposers.emplace_back([&] {
+      while (!ended) {
+        absl::Notification done;
+        client->Propose(running.address, release_claim{}, kLongTimeout,
+                        [&](const outcome<propose_response>&) { done.Notify(); });
+        done.WaitForNotification();
+      }
+    });
+  }
+  CHECK(running.server->Drain(kLongTimeout));
+  ended = true;
+  for (std::thread& proposer : proposers) proposer.join();
+}
+
 // Guards against a drain that cuts an answer which is still being sent, for example on a slow link.
 TEST_CASE("drain waits until answers have been sent") {
   // More than the socket buffers hold.
