Keep a control member through a disk that refuses writes for a while

Cause: member_core ended the member in the role kFailed on any refused write, and file_journal refused every call after its first failed one, both until a restart. Three of five disks that were full in turn ended the control group. Class: a transient failure of a resource is latched as permanent.

After a failed call, the next one first removes what is left over and truncates to that length, so that it never trusts a second sync of pages that the kernel may have dropped. A checkpoint can be repeated after a failure at any step; once its base frame is durable it has succeeded, and older files that can't be removed stay until the next one. Each removal is made durable before the next, because removals can now be left over from earlier checkpoints. - The member keeps the output that the disk refused, drops its messages, steps down, receives and accepts nothing, and repeats the write every 100 ms. Another member leads after the usual election time. Callers get kNotLeader, so they go to another member; pending proposals end with kCommitUnknown at once.

Replaced checks: "a message was sent after a storage failure" would forbid going on. Instead, after any disk fault each message is compared with what a power loss would leave on the disk: its term, vote, acknowledged and sent records. "disk errors" waited for the role kFailed; it now demands that the member reports the failure, does not lead, isn't kFailed and writes again. Disk faults can now end, opening a file can fail, and a failed sync can lose data that reads still return. CheckProgress can be called twice.

Ruled out: the membership planner does not remove a blocked member, since it counts contacts of the daemon, which goes on.

--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -59,7 +59,7 @@
   std::string leader_address;
   /// All members of the group. A member without a group lists only itself.
   std::vector<control_member_info> members;
-  /// Set when `role` is kFailed.
+  /// Set when `role` is kFailed, and while the disk refuses writes.
   error failure;
 };
 
@@ -85,8 +85,9 @@
 /// proposes `add_learner` with that id, then `promote_learner`, which the leader refuses until the
 /// learner has caught up, and finally `remove_member` with the former id.
 ///
-/// Storage. A member whose journal is damaged, or whose write or sync fails, stops at once in the
-/// role kFailed: it neither votes nor acknowledges records, and has to be replaced.
+/// Storage. While the disk refuses writes, a member neither leads, votes, acknowledges nor applies
+/// records; it repeats the refused write until it succeeds, and then goes on. A member whose
+/// journal is damaged stops at once in the role kFailed and has to be replaced.
 class control_member {
  public:
   virtual ~control_member() = default;
@@ -172,8 +173,8 @@
   control_member_builder& WithFileSystem(file_system& files);
 
   /// Loads the journal and starts the member. Errors: kSettingInvalid; kStorageFailed when the data
-  /// directory cannot be created, locked, read or written. If the journal is damaged, the member is
-  /// returned in the role kFailed.
+  /// directory cannot be created, locked or read, or its journal cannot be opened. If the journal
+  /// is damaged, the member is returned in the role kFailed.
   result<std::unique_ptr<control_member>> Build();
 
  private:
--- a/src/control/file_system.h
+++ b/src/control/file_system.h
@@ -53,6 +53,7 @@
   virtual result<void> Truncate(const std::string& path, size_t size) = 0;
 
   virtual result<void> Rename(const std::string& from, const std::string& to) = 0;
+  /// Removes a file. A missing file is not an error.
   virtual result<void> Remove(const std::string& path) = 0;
 
   /// Makes creations, renames and removals in a directory durable.
--- a/src/control/internal/member_core.h
+++ b/src/control/internal/member_core.h
@@ -49,8 +49,8 @@
   member_core(control_member_settings settings, raft_storage& storage, random_source& random,
               raft_transport& transport, control_observer* observer);
 
-  /// Loads the stored state, and stores a new member id if there is none. Errors: kStorageFailed.
-  /// If the journal is damaged, it succeeds and the role is kFailed.
+  /// Loads the stored state, and stores a new member id if there is none. Errors: kStorageFailed if
+  /// the journal cannot be opened. If it is damaged, the call succeeds and the role is kFailed.
   result<void> Start(absl::Time now);
 
   void Receive(absl::string_view message, absl::Time now);
@@ -58,6 +58,8 @@
   void Tick(absl::Time now);
 
   /// Makes the effects of the batch durable, then sends its messages and applies committed records.
+  /// While the disk refuses them, the member does not lead, drops all messages and repeats the
+  /// write in later batches.
   void FinishBatch(absl::Time now);
 
   /// Calls the observer and the completions that are due. Must be called after `View()` has been
@@ -85,7 +87,9 @@
   void RunBootstrap(bootstrap_output output, hard_state state, absl::Time now);
   void StartReplica(stored_log stored, absl::Time now);
   bool Restore(const log_snapshot& snapshot);
-  bool Persist(const raft_output& output);
+  bool Persist(const raft_output& output, absl::Time now);
+  // Keeps an output that the disk has refused, without its messages.
+  void HoldOutput(raft_output output, absl::Time now);
   void SendMessages(const std::vector<outgoing_message>& messages);
   void ApplyRecords(const std::vector<log_record>& records);
   void TakeSnapshotIfDue(absl::Time now);
@@ -93,9 +97,12 @@
   void ExpireProposals(absl::Time now);
   void QueueCompletion(proposal_completion completion, propose_response response);
   void StopWithFailure(const error& failure);
-  // Runs an operation and returns whether it succeeded. A failure stops the member.
+  // Runs an operation on the journal and returns whether it succeeded. A refused write is only
+  // reported, because the disk may accept it later; any other failure stops the member.
   template <class Operation>
-  bool RunOrFail(Operation&& operation);
+  bool Store(Operation&& operation, absl::Time now);
+  void ReportRefusedWrite(const error& failure, absl::Time now);
+  void ReportAcceptedWrite(absl::Time now);
   void UpdateView(absl::Time now);
   void NotifyLeadership(absl::Time now);
 
@@ -109,6 +116,12 @@
   replicated_state state_;
   bool failed_ = false;
   error failure_;
+  // The effects of a batch that the disk has refused. Nothing else is done until they are durable.
+  absl::optional<raft_output> held_output_;
+  absl::Time next_write_;
+  // Time of the first refused write since the last accepted one.
+  absl::optional<absl::Time> writes_refused_since_;
+  absl::Time next_snapshot_attempt_ = absl::InfinitePast();
   uint64_t snapshot_index_ = 0;
   uint64_t snapshot_size_ = 0;
   uint64_t bytes_since_snapshot_ = 0;
--- a/src/control/internal/posix_file_system.cc
+++ b/src/control/internal/posix_file_system.cc
@@ -149,7 +149,7 @@
 }
 
 result<void> posix_file_system::Remove(const std::string& path) {
-  if (unlink(path.c_str()) != 0) return SystemCallError("remove", path);
+  if (unlink(path.c_str()) != 0 && errno != ENOENT) return SystemCallError("remove", path);
   return {};
 }
 
--- a/src/control/internal/raft_replica.cc
+++ b/src/control/internal/raft_replica.cc
@@ -208,6 +208,11 @@
   log_.Compact(snapshot, settings_.retained_records);
 }
 
+void raft_replica::StepDown(absl::Time now) {
+  const bool is_active = role_ == member_role::kLeader || role_ == member_role::kCandidate;
+  if (is_active) BecomeFollower(state_.term, now);
+}
+
 void raft_replica::Fail() {
   role_ = member_role::kFailed;
   leader_since_ = absl::InfiniteFuture();
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -17,9 +17,13 @@
 namespace teaseljunction {
 
 /// Interface for the durable state of a member. Not thread-safe. After `Load` has failed, no other
-/// function may be called. After `Append` or `Checkpoint` has failed, all further calls of them
-/// fail with kStorageFailed, and the member must stop, because the content of the disk is then
-/// unknown.
+/// function may be called.
+///
+/// A disk may refuse writes for a while, for example when it is full. After `Append` or
+/// `Checkpoint` has failed, data that were durable before are unchanged, but it is unknown whether
+/// a restart would find the data of the failed call. The caller must not act on these data. It may
+/// repeat the call or make another one, except after a failed `Checkpoint` of data that it does not
+/// store yet: that one must be repeated first.
 class raft_storage {
  public:
   virtual ~raft_storage() = default;
@@ -34,7 +38,8 @@
   virtual result<void> Append(const hard_state* state, absl::Span<const log_record> records) = 0;
 
   /// Replaces the stored data by a snapshot, the state and the records after the snapshot, and
-  /// makes them durable. Errors: kStorageFailed.
+  /// makes them durable. Data that are no longer needed may stay stored for longer. Errors:
+  /// kStorageFailed.
   virtual result<void> Checkpoint(const log_snapshot& snapshot, const hard_state& state,
                                   absl::Span<const log_record> records) = 0;
 };
@@ -48,6 +53,10 @@
 /// segment, whose first frame repeats the state and the records after the snapshot, and then
 /// removes the older files.
 ///
+/// After a failed write or sync, the next call first truncates the segment to the length that the
+/// last successful sync covers, and then writes the whole frame again: a second sync alone would
+/// succeed although the kernel may have dropped the data.
+///
 /// At load, an incomplete frame at the end of the last segment is removed, since it was never
 /// acknowledged. A complete frame with a wrong checksum is damage, also at the end, because it may
 /// have been acknowledged.
@@ -80,21 +89,29 @@
   result<void> WriteFrame(const journal_frame& frame);
   result<void> WriteAndSync(append_file& file, absl::string_view bytes);
   result<void> OpenSegment(uint64_t number);
+  // Removes what a failed operation has left behind.
+  result<void> Repair();
+  result<void> RemoveTemporaryFiles();
   result<void> RemoveOlderFiles(uint64_t first_segment, uint64_t first_snapshot);
+  // Leaves files that can't be removed to the next call.
+  void RemoveOlderFilesIfPossible(uint64_t first_segment, uint64_t first_snapshot);
   std::string SegmentPath(uint64_t number) const;
   std::string SnapshotPath(uint64_t index) const;
 
-  // Runs an operation that writes. After a failure all later operations fail without being run.
+  // Runs an operation that writes, after a repair if the previous one has failed.
   template <class Operation>
-  result<void> RunUnlessFailed(Operation&& operation);
+  result<void> RunRepaired(Operation&& operation);
 
   file_system& files_;
   std::string directory_;
   std::unique_ptr<directory_lock> lock_;
   std::vector<uint64_t> segments_;
   std::vector<uint64_t> snapshots_;
+  // The last segment. Null only while a repair is necessary.
   std::unique_ptr<append_file> segment_;
-  bool failed_ = false;
+  // Length of the last segment that is durable, in bytes.
+  size_t durable_bytes_ = 0;
+  bool needs_repair_ = false;
 };
 
 }  // namespace teaseljunction
--- a/src/control/raft_replica.h
+++ b/src/control/raft_replica.h
@@ -118,8 +118,12 @@
   /// Returns copies of the records in memory with an index above `index`.
   std::vector<log_record> RecordsAfter(uint64_t index) const { return log_.RecordsAfter(index); }
 
+  /// Makes a leader or candidate a follower, for example because it cannot store records at
+  /// present.
+  void StepDown(absl::Time now);
+
   /// Stops the replica in the role kFailed, in which it never votes. Must be called when its
-  /// storage has failed or is damaged, since a vote or an acknowledged record may be lost.
+  /// storage is damaged, since a vote or an acknowledged record may be lost.
   void Fail();
 
   member_role Role() const;
--- a/src/control/tests/mocks/simulated_group.h
+++ b/src/control/tests/mocks/simulated_group.h
@@ -28,7 +28,8 @@
 /// A control group on virtual time, with an in-memory network and in-memory disks. While it runs,
 /// it checks: at most one leader per term; equal committed records; no lease held by two members;
 /// no accepted command lost; no claim granted to two attempts; no outdated manifest at a leader
-/// with a lease.
+/// with a lease; after a disk fault, no message that depends on data that a power loss would
+/// remove.
 class simulated_group {
  public:
   simulated_group(int size, uint64_t seed);
@@ -51,6 +52,11 @@
   /// Ends all faults and restarts the members that are down, except for `lost`.
   void Recover(const std::set<int>& lost = {});
 
+  /// Makes the disk of a member refuse all operations for a while, without a restart.
+  void FillDisk(int node, absl::Duration duration);
+  /// Requires that all members run without a failure.
+  void CheckNoFailure();
+
   /// Proposes a command to the leader until it is applied.
   void ProposeUntilApplied(const command& value);
   /// Proposes a command to the leader without waiting for the result.
@@ -92,6 +98,9 @@
     std::vector<std::string> inbox;
     std::set<int> blocked_from;
     uint64_t checked_index = 0;
+    // What a power loss would leave, as of an operation count of the disk.
+    stored_log durable;
+    uint64_t durable_as_of = 0;
   };
   struct in_flight_message {
     int to;
@@ -110,6 +119,7 @@
   void SubmitManifest(int node);
   void SubmitClaim(int node);
   void CheckMember(node_state& node);
+  static void CheckIsDurable(node_state& node, const std::string& message);
   void CheckLeases();
   [[noreturn]] static void FailInvariant(const std::string& what) {
     throw invariant_violation{what};
--- a/src/control/types.h
+++ b/src/control/types.h
@@ -112,7 +112,7 @@
 };
 
 /// A `kLearner` receives the log without voting, or waits to be added to a group. A `kFailed`
-/// member has stopped because its storage failed or is damaged, and has to be replaced.
+/// member has stopped because its storage is damaged, and has to be replaced.
 enum class member_role : uint8_t { kFollower, kCandidate, kLeader, kLearner, kFailed };
 
 /// One member of the control group.
