Refuse announcements that name no usable target

What callers saw: an odd announcement or status report of another writer was acknowledged and took the place of the target beside the daemon. An address without a usable port left the service without a target, and a converted incarnation (-1, 1.8e20) had true announcements refused as outdated from then on.

Cause and class: missing validation at a boundary. The decoder of the own interface converted any JSON number with get<uint64_t>(), which wraps negative numbers and is undefined out of range, and neither decoder checked the values that docs/interface.md documents. A zero byte no longer ends an address before its end in ParseSocketAddress.

Ruled out by reading the code: the ids in paths reach the targets as they came, without percent-decoding, and the HTTP client already refuses control characters in headers. A field that occurs twice still has its last value.

--- a/src/common/internal/sockets.cc
+++ b/src/common/internal/sockets.cc
@@ -12,6 +12,7 @@
 #include <cstring>
 #include <string>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -39,8 +40,10 @@
 result<socket_address> ParseSocketAddress(absl::string_view address) {
   const size_t colon = address.rfind(':');
   uint32_t port = 0;
-  if (colon == absl::string_view::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) ||
-      port > 65535) {
+  const bool has_port =
+      colon != absl::string_view::npos && absl::SimpleAtoi(address.substr(colon + 1), &port);
+  // A zero byte would end the address before its end.
+  if (!has_port || port > 65535 || absl::StrContains(address, '\0')) {
     return Fail(error_kind::kSettingInvalid, absl::StrCat("no \"IP:port\": ", address));
   }
   absl::string_view ip = address.substr(0, colon);
@@ -59,6 +62,17 @@
   return Fail(error_kind::kSettingInvalid, absl::StrCat("no \"IP:port\": ", address));
 }
 
+bool IsRemoteAddress(absl::string_view address) {
+  const size_t colon = address.rfind(':');
+  if (colon == absl::string_view::npos) return false;
+  const absl::string_view port = address.substr(colon + 1);
+  // The parser of numbers also accepts signs, spaces and leading zeros.
+  const bool is_plain = !port.empty() && port.front() != '0' &&
+                        port.find_first_not_of("0123456789") == absl::string_view::npos;
+  return is_plain &&
+         Capture<socket_address>([&] { return ParseSocketAddress(address); }).index() == 0;
+}
+
 absl::string_view IpOf(absl::string_view address) { return address.substr(0, address.rfind(':')); }
 
 result<int> OpenListenSocket(const socket_address& address, bool reuse_port) {
--- a/src/common/sockets.h
+++ b/src/common/sockets.h
@@ -22,6 +22,10 @@
 /// kSettingInvalid.
 result<socket_address> ParseSocketAddress(absl::string_view address);
 
+/// Returns whether `address` is "IPv4:port" or "[IPv6]:port" that a client can connect to, with a
+/// port from 1 to 65535 in digits without leading zeros.
+bool IsRemoteAddress(absl::string_view address);
+
 /// Returns the IP address of an "IP:port" string, with the brackets of an IPv6 address, or the
 /// whole string if it has no colon. The string is not validated. The result refers to `address`.
 absl::string_view IpOf(absl::string_view address);
--- /dev/null
+++ b/src/membership/announcement_check.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include "absl/types/optional.h"
+#include "membership/types.h"
+
+namespace teaseljunction {
+
+/// Largest number of requests at once that a target may announce.
+constexpr uint32_t kMaxTargetSlots = 1'000'000;
+
+/// Largest incarnation, 2^53 - 1: JSON parsers may round larger integers.
+constexpr uint64_t kMaxIncarnation = (uint64_t{1} << 53) - 1;
+
+/// Returns why `announced` names no usable target, or nullopt when it does. Every announcement that
+/// comes from outside the process must pass this check before it is used.
+absl::optional<std::string> FindAnnouncementError(const target_announcement& announced);
+
+}  // namespace teaseljunction
