Bound the time that half a request holds a stop

Operators saw: a caller that sent the head and a part of the body of a request, and then nothing, kept a planned stop open until its drain timeout; the process ended with exit code 1 although it owed nobody an answer, and the steps behind it (outcomes of claimed orders, answers to other daemons) had no time left.

Cause, of the class 'a bounded wait for work to end without a bound on its start': the server counted a connection as busy from the request line on, so the drain waited for bytes that only the caller could send.

Now requests that are being received and requests that are being answered are counted apart. A drain waits one second for the rest of the former. After that it refuses what is completed late as not run (the handler never gets it), waits only for answers, and returns true when none is left. The last check is made after the refusal is in force, so no request can slip in between.

Ruled out: an answer in place of the close. libmicrohttpd takes a response only at the head or at the end of a request, not in the middle of its body.

--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -51,8 +51,8 @@
   return true;
 }
 
-template <class Value>
-bool IsReady(const std::future<Value>& future) {
+template <class Future>
+bool IsReady(const Future& future) {
   return future.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
 }
 
@@ -252,7 +252,7 @@
     far->AnnounceTarget();
     SubmitManifest();
     REQUIRE(WaitUntil([this] { return near->IsReadyToServe() && far->IsReadyToServe(); }));
-    run_ = std::async(std::launch::async, [this] { return near->daemon->Run(); });
+    run_ = std::async(std::launch::async, [this] { return near->daemon->Run(); }).share();
   }
 
   ~planned_stop_fixture() {
@@ -271,6 +271,9 @@
 
   bool HasStopped() const { return IsReady(run_); }
 
+  // Waits for the end of the stop. Returns false if it ran out of time.
+  bool WaitForEnd() const { return run_.get(); }
+
   // Keeps the near target busy and then stops the near daemon. Returns the answer of the request
   // that keeps it busy.
   std::future<caller_answer> StopWhileBusy() const {
@@ -310,7 +313,7 @@
   }
 
   const std::filesystem::path data_directory_;
-  std::future<bool> run_;
+  std::shared_future<bool> run_;
 };
 
 // Stops the near daemon while its target is idle. Returns the answer to a request on a kept
@@ -473,6 +476,19 @@
   CHECK_FALSE(fixture.far->target.HasReceived("/far/late"));
 }
 
+// Guards against a stop that ends with an error because a caller never sends the rest of a request.
+TEST_CASE("half a request does not keep a stop open until its time limit") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200), absl::Seconds(10));
+  const raw_socket caller = raw_socket::Connect(PortOf(fixture.near->settings.listen));
+  caller.Write(
+      "POST /order/half HTTP/1.1\r\nHost: test\r\nIdempotency-Key: two\r\n"
+      "Content-Length: 10\r\n\r\n123");
+  fixture.near->daemon->RequestStop();
+  CHECK(fixture.WaitForEnd());
+  CHECK(caller.ReadAll().empty());
+  CHECK_FALSE(fixture.far->target.HasReceived("/order/half"));
+}
+
 // Guards against an order whose repeat is refused as in progress, because the daemon that holds its
 // claim stopped before its outcome was known.
 TEST_CASE("a stop waits for the outcome of an order whose caller has left") {
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -24,6 +24,8 @@
 
 /// Time in which connections whose handshake had begun can still be accepted after `Drain` begins.
 constexpr absl::Duration kAcceptGrace = absl::Milliseconds(100);
+/// Time for which `Drain` waits for the rest of requests that have been received in part.
+constexpr absl::Duration kIncompleteRequestTimeout = absl::Seconds(1);
 /// Maximum time that `Stop` waits for the last responses to be sent.
 constexpr absl::Duration kResponseFlushTimeout = absl::Milliseconds(250);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(2);
@@ -194,7 +196,7 @@
   const std::unique_ptr<server_connection> state(static_cast<server_connection*>(*context));
   *context = nullptr;
   if (state == nullptr) return;
-  if (state->has_request) --self->active_connections_;
+  self->SetStage(*state, request_stage::kNone);
   if (state->requests == 0) self->LogLimited("connection closed without a request");
   absl::MutexLock lock(&self->mutex_);
   self->connections_.erase(state.get());
@@ -206,11 +208,19 @@
   if (state == nullptr) return nullptr;
   state->target = target;
   ++state->requests;
-  if (!state->has_request) ++self->active_connections_;
-  state->has_request = true;
+  self->SetStage(*state, request_stage::kReceiving);
   return nullptr;
 }
 
+void http_server::impl::SetStage(server_connection& state, request_stage stage) {
+  const request_stage previous = state.stage.exchange(stage);
+  // Incremented first, so that a request is counted at any time while it changes its stage.
+  if (stage == request_stage::kReceiving) ++receiving_connections_;
+  if (stage == request_stage::kResponding) ++responding_connections_;
+  if (previous == request_stage::kReceiving) --receiving_connections_;
+  if (previous == request_stage::kResponding) --responding_connections_;
+}
+
 MHD_Result http_server::impl::OnAccess(void* cls, MHD_Connection* connection, const char*,
                                        const char* method, const char*, const char* data,
                                        size_t* size, void** context) {
@@ -234,7 +244,10 @@
   request->message.method = method;
   request->head = request->message.method == MHD_HTTP_METHOD_HEAD;
   const absl::optional<error> refusal = CheckHeaders(connection, *state, *request);
-  if (refusal) return Refuse(connection, *refusal);
+  if (refusal) {
+    SetStage(*state, request_stage::kResponding);
+    return Refuse(connection, *refusal);
+  }
   request->message.path = std::move(state->target);
   request->message.remote_ip = state->remote_ip;
   return MHD_YES;
@@ -279,6 +292,9 @@
 MHD_Result http_server::impl::DispatchOrRespond(MHD_Connection* connection,
                                                 server_request& request) {
   if (!request.dispatched) {
+    if (server_connection* state = StateOf(connection)) {
+      SetStage(*state, request_stage::kResponding);
+    }
     if (request.refusal) return Refuse(connection, *request.refusal);
     if (!RegisterRequest(request)) return Refuse(connection, {error_kind::kDraining, ""});
     if (!request.Dispatch(handler_, settings_.loop)) return MHD_YES;
@@ -315,10 +331,7 @@
                                     MHD_RequestTerminationCode code) {
   auto* self = static_cast<impl*>(cls);
   server_connection* state = StateOf(connection);
-  if (state != nullptr && state->has_request) {
-    state->has_request = false;
-    --self->active_connections_;
-  }
+  if (state != nullptr) self->SetStage(*state, request_stage::kNone);
   const std::unique_ptr<std::shared_ptr<server_request>> request(
       static_cast<std::shared_ptr<server_request>*>(*context));
   *context = nullptr;
@@ -339,9 +352,10 @@
   return true;
 }
 
-bool http_server::impl::HasPendingInput() {
+bool http_server::impl::HasPendingInput(bool ignore_receiving) {
   absl::MutexLock lock(&mutex_);
-  return std::any_of(connections_.begin(), connections_.end(), [](const server_connection* state) {
+  return std::any_of(connections_.begin(), connections_.end(), [&](const server_connection* state) {
+    if (ignore_receiving && state->stage == request_stage::kReceiving) return false;
     int bytes = 0;
     return ioctl(state->fd, FIONREAD, &bytes) == 0 && bytes > 0;
   });
@@ -361,16 +375,25 @@
               << " requests are open.";
   }
   const absl::Time linger_end = system_clock_source().Now() + settings_.drain_linger;
-  while (system_clock_source().Now() < deadline) {
+  const absl::Time receive_end = system_clock_source().Now() + kIncompleteRequestTimeout;
+  for (absl::Time now; (now = system_clock_source().Now()) < deadline;) {
     {
       absl::MutexLock lock(&mutex_);
       if (connections_.empty()) break;
     }
-    if (system_clock_source().Now() >= linger_end && !HasPendingInput() && active_connections_ == 0)
-      break;
+    const bool ignore_receiving = now >= receive_end;
+    if (now >= linger_end && !HasPendingInput(ignore_receiving) &&
+        (ignore_receiving || receiving_connections_ == 0) && responding_connections_ == 0) {
+      absl::ReleasableMutexLock lock(&mutex_);
+      stopping_ = true;
+      lock.Release();
+      // False if a request was received completely since the check above.
+      if (responding_connections_ == 0) break;
+    }
     absl::SleepFor(kPollInterval);
   }
-  const bool drained = active_connections_ == 0;
+  // The handler has not got the requests that are still being received.
+  const bool drained = responding_connections_ == 0;
   Stop();
   return drained;
 }
@@ -413,7 +436,7 @@
   if (daemon_ == nullptr) return;
   RunInServingContext([this] { AnswerPendingRequests(); });
   const absl::Time flush_end = system_clock_source().Now() + kResponseFlushTimeout;
-  while (active_connections_ > 0 && system_clock_source().Now() < flush_end)
+  while (responding_connections_ > 0 && system_clock_source().Now() < flush_end)
     absl::SleepFor(kPollInterval);
   RunInServingContext([this] {
     *serving_ = false;
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -21,14 +21,17 @@
 
 namespace teaseljunction {
 
+/// Stage of the current request of a connection. A request that is refused from its headers is
+/// never received completely.
+enum class request_stage : uint8_t { kNone, kReceiving, kResponding };
+
 /// State of a connection, which libmicrohttpd keeps as its socket context.
 struct server_connection {
   int fd = -1;
   std::string remote_ip;
   /// Request target of the current request, as received.
   std::string target;
-  /// True from the request line to the end of the response.
-  bool has_request = false;
+  std::atomic<request_stage> stage = request_stage::kNone;
   /// Number of requests received so far.
   uint64_t requests = 0;
 };
@@ -76,8 +79,11 @@
   MHD_Result Refuse(MHD_Connection* connection, const error& failure);
   /// Adds a request to those that `Stop` has to answer. Returns false once the server is stopping.
   bool RegisterRequest(server_request& request);
-  /// Returns true if a connection has received bytes that have not been read yet.
-  bool HasPendingInput();
+  /// Changes the stage of a connection's request.
+  void SetStage(server_connection& state, request_stage stage);
+  /// Returns true if a connection has received bytes that have not been read yet. With
+  /// `ignore_receiving`, connections that have received a part of a request do not count.
+  bool HasPendingInput(bool ignore_receiving);
   void CloseListenSocket();
   void LogAbandoned(absl::Span<const std::shared_ptr<server_request>> abandoned) const;
   void LogLimited(absl::string_view line);
@@ -98,10 +104,13 @@
   std::shared_ptr<bool> serving_ = std::make_shared<bool>(false);
   std::atomic<bool> keep_alive_ = true;
   std::atomic<uint64_t> next_id_ = 0;
-  // Number of connections with a request, from its request line to the end of its response.
-  std::atomic<int64_t> active_connections_ = 0;
+  // Numbers of connections with a request that is being received, from its request line on, and
+  // with one that is being answered, until the end of its response.
+  std::atomic<int64_t> receiving_connections_ = 0;
+  std::atomic<int64_t> responding_connections_ = 0;
   log_limiter log_limiter_;
   absl::Mutex mutex_;
+  // True once received requests are refused.
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   absl::flat_hash_set<std::shared_ptr<server_request>> requests_ ABSL_GUARDED_BY(mutex_);
   absl::flat_hash_set<server_connection*> connections_ ABSL_GUARDED_BY(mutex_);
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -355,6 +355,29 @@
   CHECK(drained);
 }
 
+// Guards against a request that never arrives completely and keeps a stop open until its time
+// limit.
+TEST_CASE("drain does not wait for the rest of a request without end") {
+  constexpr absl::string_view kIncomplete[] = {
+      "GET /a HTTP/1.1\r\nHost: te",
+      "POST /a HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\n\r\n123",
+      "POST /a HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n123\r\n"};
+  std::atomic<bool> handled = false;
+  test_server running([&](const http_request& request, std::shared_ptr<http_exchange> exchange) {
+    if (request.path == "/a") handled = true;
+    Echo(request, *exchange);
+  });
+  std::vector<raw_socket> clients;
+  for (const absl::string_view part : kIncomplete) {
+    clients.push_back(raw_socket::Connect(running.port));
+    clients.back().Write(Request("GET /first"));
+    clients.back().ReadUntil("GET /first ");
+    clients.back().Write(part);
+  }
+  CHECK(running.server->Drain(absl::Seconds(10)));
+  CHECK_FALSE(handled);
+}
+
 // Guards against an abort of the process by libmicrohttpd, and against "not run" for a request that
 // may have run.
 TEST_CASE("stop answers requests that are still running") {
