Use a reporting target again after a wrong report in its place

What callers saw: after one report with a wrong but possible start or sequence (another writer, or a clock that was set back before the target was restarted), every true report was taken for a late one. The service had no target on that host until the daemon was restarted.

Cause and class: a floor that only rises. target_lease and the filter of status reports remembered the highest position without limit, as a guard against late reports of ended processes. An ended process cannot keep reporting, so report_order continues with an earlier position whose reports arrive for two leases without a longer gap than one, while the latest position is silent for one. The position that was wrong is refused from then on. Draining and withdrawal stay in force for an incarnation.

Ruled out: accepting an earlier incarnation once the lease has expired; the test of the lease forbids it for single late announcements.

--- a/src/membership/internal/target_lease.cc
+++ b/src/membership/internal/target_lease.cc
@@ -22,16 +22,16 @@
 
 announce_result target_lease::Announce(const target_announcement& announcement, absl::Time now) {
   Expire(now);
-  if (announcement.incarnation < highest_incarnation_) return announce_result::kOutdated;
-  const bool newer = announcement.incarnation > highest_incarnation_;
-  if (!newer && withdrawn_) return announce_result::kOutdated;
+  const uint64_t latest = order_.Latest().incarnation;
+  const bool other_process = announcement.incarnation != latest;
+  if (!other_process && withdrawn_) return announce_result::kOutdated;
+  if (!order_.Accept({announcement.incarnation, 0}, now)) return announce_result::kOutdated;
   const bool had_target = target_.has_value();
   const bool same_as_adopted =
       adopted_ && had_target && target_->target_id == announcement.target_id;
   adopted_ = false;
   reported_ = true;
-  if (newer) {
-    highest_incarnation_ = announcement.incarnation;
+  if (other_process) {
     withdrawn_ = false;
     draining_ = false;
     draining_since_ = absl::InfiniteFuture();
@@ -43,13 +43,13 @@
   expiry_ = now + duration_;
   if (!had_target) return announce_result::kJoined;
   if (same_as_adopted) return announce_result::kRenewed;
-  return newer ? announce_result::kReplaced : announce_result::kRenewed;
+  return other_process ? announce_result::kReplaced : announce_result::kRenewed;
 }
 
 bool target_lease::Withdraw(uint64_t incarnation) {
   reported_ = true;
-  if (incarnation < highest_incarnation_) return false;
-  highest_incarnation_ = incarnation;
+  if (incarnation < order_.Latest().incarnation) return false;
+  order_.Raise({incarnation, 0});
   withdrawn_ = true;
   target_.reset();
   return true;
--- a/src/membership/target_lease.h
+++ b/src/membership/target_lease.h
@@ -4,6 +4,7 @@
 
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "membership/report_order.h"
 #include "membership/types.h"
 
 namespace teaseljunction {
@@ -28,11 +29,13 @@
 class target_lease {
  public:
   /// `duration` is the time for which an announcement is valid.
-  explicit target_lease(absl::Duration duration = kMembershipLease) : duration_(duration) {}
+  explicit target_lease(absl::Duration duration = kMembershipLease)
+      : duration_(duration), order_(duration) {}
 
-  /// Processes an announcement. An earlier incarnation never replaces a later one, not even after
-  /// the lease has expired. Draining is permanent for an incarnation, so that a delayed
-  /// announcement does not send new requests to a target that is shutting down.
+  /// Processes an announcement. An earlier incarnation replaces a later one only when
+  /// `report_order` finds that the earlier one is running; that the lease has expired is not
+  /// enough. Draining is permanent for an incarnation, so that a delayed announcement does not send
+  /// new requests to a target that is shutting down.
   announce_result Announce(const target_announcement& announcement, absl::Time now);
 
   /// Uses a target that answered a probe until it announces itself, for at most 2 s. Returns false
@@ -50,7 +53,7 @@
   /// Returns whether the latest process that announced itself, drained or withdrew has this
   /// incarnation, also after its lease has expired.
   bool IsLatestIncarnation(uint64_t incarnation) const {
-    return reported_ && incarnation == highest_incarnation_;
+    return reported_ && incarnation == order_.Latest().incarnation;
   }
 
   /// Time at which the target was first known to be draining; InfiniteFuture when it is not.
@@ -70,10 +73,11 @@
   /// True while the target is known from a probe only.
   bool adopted_ = false;
   absl::Time expiry_ = absl::InfinitePast();
-  /// Highest incarnation that was announced or withdrawn.
-  uint64_t highest_incarnation_ = 0;
+  /// Order of the incarnations that were announced or withdrawn.
+  report_order order_;
+  /// True when the latest incarnation has withdrawn.
   bool withdrawn_ = false;
-  /// Draining state of `highest_incarnation_`.
+  /// Draining state of the latest incarnation.
   bool draining_ = false;
   absl::Time draining_since_ = absl::InfiniteFuture();
 };
--- a/src/membership/tests/target_lease_test.cc
+++ b/src/membership/tests/target_lease_test.cc
@@ -52,6 +52,45 @@
   CHECK_FALSE(lease.Expire(At(24)));
 }
 
+// Guards against one announcement with a wrong incarnation, from another writer or before a clock
+// was set back, that shuts out the running target for good.
+TEST_CASE("a target that keeps announcing itself replaces a later incarnation that fell silent") {
+  const uint64_t wrong = (uint64_t{1} << 53) - 1;
+  for (const bool withdraws : {false, true}) {
+    CAPTURE(withdraws);
+    target_lease lease;
+    lease.Announce(Target(5), At(0));
+    lease.Announce(Target(wrong, true), At(0.5));
+    if (withdraws) lease.Withdraw(wrong);
+    double time = 1;
+    while (time < 20 && lease.Announce(Target(5), At(time)) == announce_result::kOutdated) ++time;
+    CHECK(time >= 6);
+    CHECK(time <= 8);
+    REQUIRE(lease.Current(At(time)));
+    CHECK(lease.Current(At(time))->incarnation == 5);
+    CHECK_FALSE(lease.Current(At(time))->draining);
+    CHECK(lease.Announce(Target(wrong), At(time)) == announce_result::kOutdated);
+    CHECK(lease.Announce(Target(5), At(time + 1)) == announce_result::kRenewed);
+    CHECK(lease.Announce(Target(6), At(time + 2)) == announce_result::kReplaced);
+  }
+}
+
+// Guards against late announcements of an ended process that replace its successor.
+TEST_CASE("late announcements do not replace a later incarnation") {
+  target_lease renewed;
+  renewed.Announce(Target(6), At(0));
+  for (double time = 1; time < 30; ++time) {
+    CHECK(renewed.Announce(Target(5), At(time)) == announce_result::kOutdated);
+    CHECK(renewed.Announce(Target(6), At(time)) == announce_result::kRenewed);
+  }
+  target_lease expired;
+  expired.Announce(Target(6), At(0));
+  for (const double time : {1.0, 2.0, 4.0, 5.0, 9.0, 13.0, 17.0, 20.5, 21.0}) {
+    CAPTURE(time);
+    CHECK(expired.Announce(Target(5), At(time)) == announce_result::kOutdated);
+  }
+}
+
 // Guards against new requests for a target that is draining or has withdrawn.
 TEST_CASE("draining and withdrawal are permanent for the incarnation") {
   target_lease lease;
