Answer requests that have arrived before a stop closes their connection

Callers saw: a client that sends its next request without waiting for the answer before it got that answer with 'Connection: close' from the moment of SIGTERM on, and then the close.

Cause: the stop bounds connections by the next answer, not by what the client has already sent.

Now an answer closes its connection only if no bytes have arrived behind its request. libmicrohttpd does not tell what it has read ahead, so the bytes of the requests are counted and compared with the number that the kernel has received (TCP_INFO). After a body in chunks, whose framing is not visible, only input that has not been read counts, so a request read ahead behind one is still dropped.

--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -49,7 +49,8 @@
   /// kInternal.
   result<uint16_t> Start();
 
-  /// Adds `Connection: close` to all further responses, so that clients move to other servers.
+  /// Adds `Connection: close` to further responses, so that clients move to other servers. On a
+  /// connection on which a client has sent further requests already, these are answered first.
   void DisableKeepAlive();
 
   /// Stops gracefully: accepts no new connections, answers every request that is running or arrives
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -1,5 +1,7 @@
 #include "http/http_server.h"
 
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -42,6 +44,22 @@
   return info == nullptr ? nullptr : static_cast<server_connection*>(info->socket_context);
 }
 
+bool HasUnreadInput(int fd) {
+  int bytes = 0;
+  return ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
+/// Returns true if the client has sent bytes that do not belong to the requests received so far.
+/// libmicrohttpd may have read them already.
+bool HasFurtherInput(const server_connection& state) {
+  tcp_info info = {};
+  socklen_t size = sizeof(info);
+  const bool known = state.request_bytes &&
+                     getsockopt(state.fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+                     info.tcpi_bytes_received > 0;
+  return known ? info.tcpi_bytes_received > *state.request_bytes : HasUnreadInput(state.fd);
+}
+
 MHD_Result CollectHeader(void* cls, MHD_ValueKind, const char* key, size_t key_size,
                          const char* value, size_t value_size) {
   auto* headers = static_cast<std::vector<http_header>*>(cls);
@@ -230,6 +248,8 @@
   if (*size > 0) {
     const absl::string_view part(data, *size);
     *size = 0;
+    server_connection* state = StateOf(connection);
+    if (state != nullptr && state->request_bytes) *state->request_bytes += part.size();
     return request.AppendBody(part, self->settings_.max_body_bytes) ? MHD_YES : MHD_NO;
   }
   return self->DispatchOrRespond(connection, request);
@@ -243,7 +263,13 @@
   *context = new std::shared_ptr<server_request>(request);
   request->message.method = method;
   request->head = request->message.method == MHD_HTTP_METHOD_HEAD;
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  if (info != nullptr && state->request_bytes) *state->request_bytes += info->header_size;
   const absl::optional<error> refusal = CheckHeaders(connection, *state, *request);
+  if (info == nullptr || FindHeader(request->message.headers, "Transfer-Encoding")) {
+    state->request_bytes.reset();
+  }
   if (refusal) {
     SetStage(*state, request_stage::kResponding);
     return Refuse(connection, *refusal);
@@ -309,6 +335,13 @@
   return QueueResponse(connection, false, ProblemResponse(failure, ""));
 }
 
+bool http_server::impl::ClosesAfterResponse(MHD_Connection* connection) const {
+  const close_policy policy = close_policy_;
+  if (policy != close_policy::kAfterReceivedRequests) return policy == close_policy::kAlways;
+  const server_connection* state = StateOf(connection);
+  return state == nullptr || !HasFurtherInput(*state);
+}
+
 MHD_Result http_server::impl::QueueResponse(MHD_Connection* connection, bool head,
                                             http_response response) {
   if (response.status < 200 || response.status > 599) {
@@ -320,7 +353,9 @@
     if (IsTransferHeader(header.name)) continue;
     MHD_add_response_header(created, header.name.c_str(), header.value.c_str());
   }
-  if (!keep_alive_) MHD_add_response_header(created, MHD_HTTP_HEADER_CONNECTION, "close");
+  if (ClosesAfterResponse(connection)) {
+    MHD_add_response_header(created, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
   const MHD_Result queued =
       MHD_queue_response(connection, static_cast<unsigned>(response.status), created);
   MHD_destroy_response(created);
@@ -356,15 +391,14 @@
   absl::MutexLock lock(&mutex_);
   return std::any_of(connections_.begin(), connections_.end(), [&](const server_connection* state) {
     if (ignore_receiving && state->stage == request_stage::kReceiving) return false;
-    int bytes = 0;
-    return ioctl(state->fd, FIONREAD, &bytes) == 0 && bytes > 0;
+    return HasUnreadInput(state->fd);
   });
 }
 
 bool http_server::impl::Drain(absl::Duration timeout) {
   if (daemon_ == nullptr) return true;
   const absl::Time deadline = system_clock_source().Now() + timeout;
-  keep_alive_ = false;
+  DisableKeepAlive();
   IgnoreNewConnections(listen_fd_);
   absl::SleepFor(std::min(kAcceptGrace, timeout));
   CloseListenSocket();
@@ -382,6 +416,7 @@
       if (connections_.empty()) break;
     }
     const bool ignore_receiving = now >= receive_end;
+    if (ignore_receiving) close_policy_ = close_policy::kAlways;
     if (now >= linger_end && !HasPendingInput(ignore_receiving) &&
         (ignore_receiving || receiving_connections_ == 0) && responding_connections_ == 0) {
       absl::ReleasableMutexLock lock(&mutex_);
@@ -412,7 +447,7 @@
     stopping_ = true;
     open.assign(requests_.begin(), requests_.end());
   }
-  keep_alive_ = false;
+  close_policy_ = close_policy::kAlways;
   if (!open.empty()) LogAbandoned(open);
   // libmicrohttpd aborts the process if a connection is still suspended when the daemon is stopped.
   for (const auto& request : open) {
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -25,6 +25,9 @@
 /// never received completely.
 enum class request_stage : uint8_t { kNone, kReceiving, kResponding };
 
+/// When the server closes a connection after a response.
+enum class close_policy : uint8_t { kNever, kAfterReceivedRequests, kAlways };
+
 /// State of a connection, which libmicrohttpd keeps as its socket context.
 struct server_connection {
   int fd = -1;
@@ -34,6 +37,8 @@
   std::atomic<request_stage> stage = request_stage::kNone;
   /// Number of requests received so far.
   uint64_t requests = 0;
+  /// Number of bytes of the requests received so far. Unknown after a body sent in chunks.
+  absl::optional<uint64_t> request_bytes = 0;
 };
 
 /// Owns the daemon of libmicrohttpd and implements its callbacks.
@@ -42,7 +47,7 @@
   impl(http_server_settings settings, http_handler* handler);
 
   result<uint16_t> Start();
-  void DisableKeepAlive() { keep_alive_ = false; }
+  void DisableKeepAlive() { close_policy_ = close_policy::kAfterReceivedRequests; }
   bool Drain(absl::Duration timeout);
   void Stop();
 
@@ -75,6 +80,8 @@
   /// at once, or nothing.
   absl::optional<error> CheckHeaders(MHD_Connection* connection, const server_connection& state,
                                      server_request& request) const;
+  /// Returns true if the response is the last one of its connection.
+  bool ClosesAfterResponse(MHD_Connection* connection) const;
   MHD_Result QueueResponse(MHD_Connection* connection, bool head, http_response response);
   MHD_Result Refuse(MHD_Connection* connection, const error& failure);
   /// Adds a request to those that `Stop` has to answer. Returns false once the server is stopping.
@@ -102,7 +109,7 @@
   uint64_t idle_check_timer_ = 0;
   // False once the server has stopped; checked by tasks that are still queued on the loop.
   std::shared_ptr<bool> serving_ = std::make_shared<bool>(false);
-  std::atomic<bool> keep_alive_ = true;
+  std::atomic<close_policy> close_policy_ = close_policy::kNever;
   std::atomic<uint64_t> next_id_ = 0;
   // Numbers of connections with a request that is being received, from its request line on, and
   // with one that is being answered, until the end of its response.
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -355,6 +355,52 @@
   CHECK(drained);
 }
 
+// Guards against a close after one answer that drops requests which have been received behind it.
+TEST_CASE("requests received before the last answer of a connection are answered") {
+  const std::string post = Request("POST /body", "Content-Length: 3\r\n", "abc");
+  const std::string second = Request("GET /second");
+  struct pipeline {
+    std::string name;
+    std::string warm_up;
+    std::string written_at_once;
+    std::string written_later;
+  };
+  const std::vector<pipeline> pipelines = {
+      {"in one segment", "", Request("GET /slow") + second, ""},
+      {"in two segments", "", Request("GET /slow"), second},
+      {"on a used connection", Request("GET /first"), Request("GET /slow") + second, ""},
+      {"behind a body", "", post + Request("GET /slow") + second, ""},
+      {"three requests", "", Request("GET /slow") + post, second},
+  };
+  for (const pipeline& tested : pipelines) {
+    INFO(tested.name);
+    absl::Notification release;
+    absl::Notification arrived;
+    test_server running([&](const http_request& request, std::shared_ptr<http_exchange> exchange) {
+      if (request.path != "/slow") return Echo(request, *exchange);
+      arrived.Notify();
+      std::thread([&, request, exchange] {
+        release.WaitForNotification();
+        Echo(request, *exchange);
+      }).detach();
+    });
+    const raw_socket client = raw_socket::Connect(running.port);
+    if (!tested.warm_up.empty()) {
+      client.Write(tested.warm_up);
+      client.ReadUntil("GET /first ");
+    }
+    client.Write(tested.written_at_once);
+    arrived.WaitForNotification();
+    client.Write(tested.written_later);
+    running.server->DisableKeepAlive();
+    release.Notify();
+    const std::string received = client.ReadAll();
+    CHECK(absl::StrContains(received, "GET /slow "));
+    CHECK(absl::StrContains(received, "GET /second "));
+    CHECK(absl::StrContains(received, "Connection: close"));
+  }
+}
+
 // Guards against a request that never arrives completely and keeps a stop open until its time
 // limit.
 TEST_CASE("drain does not wait for the rest of a request without end") {
