--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -404,7 +404,7 @@
 // Guards against a request that never arrives completely and keeps a stop open until its time
 // limit.
 TEST_CASE("drain does not wait for the rest of a request without end") {
-  constexpr absl::string_view kIncomplete[] = {
+  constexpr absl::string_view incomplete_requests[] = {
       "GET /a HTTP/1.1\r\nHost: te",
       "POST /a HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\n\r\n123",
       "POST /a HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n123\r\n"};
@@ -414,7 +414,7 @@
     Echo(request, *exchange);
   });
   std::vector<raw_socket> clients;
-  for (const absl::string_view part : kIncomplete) {
+  for (const absl::string_view part : incomplete_requests) {
     clients.push_back(raw_socket::Connect(running.port));
     clients.back().Write(Request("GET /first"));
     clients.back().ReadUntil("GET /first ");
