Refuse late calls that must run once and could be cut by a stop

Callers saw: after the drain delay, while a call runs at the target beside a stopping daemon, the daemon took requests to routes that are open to child calls until 0.2 s before its end, also those that may run only once and whose caller waits longer than that. The target got a shortened deadline; a call that was still running then was answered 'may have run' by the daemon, and could not be repeated, although any other host could have run it whole.

Now such a call is refused as not run (draining) if its own deadline lies after the deadline of child calls.

Ruled out: a refusal of all calls whose deadline is later. Child calls have the timeout of their route, which is often much longer than their work, so running parents would fail in each stop.

--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -222,6 +222,16 @@
   return decoded;
 }
 
+// Marks all routes as meant for child calls, also those whose calls may run only once.
+result<manifest> DecodeWithInternalOrders(absl::string_view text) {
+  BOOST_LEAF_AUTO(decoded, DecodeManifest(text));
+  for (route& listed : decoded.routes) {
+    listed.internal = true;
+    listed.claims = false;
+  }
+  return decoded;
+}
+
 // Two hosts with a target each, named after the service of their target. The near daemon is stopped
 // by the tests; the far daemon is the control group and stays.
 class planned_stop_fixture {
@@ -476,6 +486,35 @@
   CHECK_FALSE(fixture.far->target.HasReceived("/far/late"));
 }
 
+// Guards against a call that is taken late in a stop and cut, although it may not be repeated.
+TEST_CASE("an unmarked call that must run once is refused when it cannot end before the stop") {
+  const planned_stop_fixture fixture(absl::Milliseconds(200), absl::Seconds(5),
+                                     &DecodeWithInternalOrders);
+  auto running = fixture.StopWhileBusy();
+  const auto send = [&](absl::string_view method, absl::string_view path,
+                        absl::string_view headers) {
+    const raw_socket caller = raw_socket::Connect(PortOf(fixture.near->settings.listen));
+    caller.Write(absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: test\r\nContent-Length: 0\r\n",
+                              headers, "\r\n"));
+    return caller.ReadUntil("}");
+  };
+  std::string path;
+  std::string answer;
+  for (int i = 0; !absl::StrContains(answer, "error:draining\"") && !fixture.HasStopped(); ++i) {
+    absl::SleepFor(kRequestInterval);
+    path = absl::StrCat("/order/", i);
+    answer = send("POST", path, "");
+  }
+  INFO(answer);
+  CHECK(absl::StrContains(answer, "error:draining\""));
+  CHECK_FALSE(fixture.far->target.HasReceived(path));
+  CHECK(absl::StrContains(send("POST", "/order/short", "Teaseljunction-Deadline-Ms: 500\r\n"),
+                          "{\"path\":\"/order/short\"}"));
+  CHECK(absl::StrContains(send("GET", "/far/long", ""), "{\"path\":\"/far/long\"}"));
+  fixture.Release();
+  CHECK(running.get().status == 200);
+}
+
 // Guards against a stop that ends with an error because a caller never sends the rest of a request.
 TEST_CASE("half a request does not keep a stop open until its time limit") {
   const planned_stop_fixture fixture(absl::Milliseconds(200), absl::Seconds(10));
--- a/src/gateway/entry_request_handler.h
+++ b/src/gateway/entry_request_handler.h
@@ -29,7 +29,8 @@
 
   /// Refuses all further requests of callers with kDraining. Child calls of the local target are
   /// still accepted, because calls that are running depend on them; they end by
-  /// `child_call_deadline`.
+  /// `child_call_deadline`. Without a context token, a call that may run only once is accepted only
+  /// if its own deadline is not later.
   void StopAcceptingCallers(absl::Time child_call_deadline);
 
   /// Refuses all further requests with kDraining. Meant for the time when no call runs at the local
--- a/src/gateway/internal/entry_request_handler.cc
+++ b/src/gateway/internal/entry_request_handler.cc
@@ -69,6 +69,11 @@
   absl::MutexLock lock(&mutex_);
   if (!child_call_deadline_) return {};
   if (resolved.request.depth == 0) return Fail(error_kind::kDraining);
+  // Without a parent this can be a request of a caller, which another daemon can still run.
+  const bool may_be_cut = resolved.deadline > *child_call_deadline_;
+  if (may_be_cut && resolved.parent == nullptr && !resolved.request.idempotent) {
+    return Fail(error_kind::kDraining);
+  }
   resolved.deadline = std::min(resolved.deadline, *child_call_deadline_);
   if (resolved.deadline <= now) return Fail(error_kind::kDraining);
   return {};
