Start a control member while its disk is full

What operators would see: a control host that is restarted while its disk is full ends at once with `storage-failed`, and again at each restart until there is room (a process that ends by itself), although it has all that it needs to run.

Cause: Load wrote: it synced and truncated the last segment, created the first one, and completed a checkpoint that had been interrupted. Any refusal ended the start. Class: as for the running member, a transient failure taken as final.

Fix: Load only reads (and removes files). What it has to mend is done by the repair before the first write, which the member already repeats until the disk accepts it. The member stores its state again before it does anything, so the sync of what Load has read still happens before anything relies on it.

The simulated disk can now be full, which refuses only operations that need space.

--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -173,7 +173,7 @@
   control_member_builder& WithFileSystem(file_system& files);
 
   /// Loads the journal and starts the member. Errors: kSettingInvalid; kStorageFailed when the data
-  /// directory cannot be created, locked or read, or its journal cannot be opened. If the journal
+  /// directory cannot be created, locked or read; a full disk is no error. If the journal
   /// is damaged, the member is returned in the role kFailed.
   result<std::unique_ptr<control_member>> Build();
 
--- a/src/control/internal/journal.cc
+++ b/src/control/internal/journal.cc
@@ -28,6 +28,17 @@
   if (absl::SimpleAtoi(name.substr(prefix.size()), &number)) numbers.push_back(number);
 }
 
+journal_frame BaseFrame(const log_snapshot& snapshot, const hard_state& state,
+                        absl::Span<const log_record> records) {
+  journal_frame frame;
+  frame.state = state;
+  frame.base = true;
+  frame.base_index = snapshot.index;
+  frame.base_term = snapshot.term;
+  frame.records.assign(records.begin(), records.end());
+  return frame;
+}
+
 }  // namespace
 
 file_journal::file_journal(file_system& files, std::string directory)
@@ -64,8 +75,8 @@
 result<stored_log> file_journal::Load() {
   BOOST_LEAF_CHECK(files_.CreateDirectory(directory_));
   BOOST_LEAF_ASSIGN(lock_, files_.Lock(directory_));
-  BOOST_LEAF_CHECK(RemoveTemporaryFiles());
   BOOST_LEAF_CHECK(ScanDirectory());
+  needs_repair_ = true;
   replay_state replayed;
   for (size_t i = 0; i < segments_.size(); ++i) {
     if (segments_[i] != segments_.front() + i) return CorruptError("A segment is missing.");
@@ -75,12 +86,9 @@
     // The member has never acknowledged anything, unless files were lost.
     const bool is_new = segments_.empty() || segments_ == std::vector<uint64_t>{1};
     if (!snapshots_.empty() || !is_new) return CorruptError("The log is missing.");
-    BOOST_LEAF_CHECK(OpenSegment(1));
+    segments_ = {1};
     return stored_log{};
   }
-  BOOST_LEAF_CHECK(OpenSegment(segments_.back()));
-  // The process may have been killed between a write and its sync.
-  BOOST_LEAF_CHECK(segment_->Sync());
   return BuildStoredLog(std::move(replayed));
 }
 
@@ -94,7 +102,6 @@
   }
   for (const absl::string_view body : scan.bodies) BOOST_LEAF_CHECK(ReplayFrame(body, replayed));
   durable_bytes_ = scan.valid_bytes;
-  if (truncated) return files_.Truncate(SegmentPath(number), scan.valid_bytes);
   return {};
 }
 
@@ -154,8 +161,8 @@
     stored.records = std::move(replayed.records);
     return stored;
   }
-  // The member crashed after it had stored the snapshot and before the segment of that snapshot was
-  // durable. The checkpoint is completed here.
+  // The member stopped after it had stored the snapshot and before the segment of that snapshot was
+  // durable.
   const uint64_t covered = snapshot.index - replayed.base_index;
   const bool log_continues =
       covered <= replayed.records.size() && replayed.records[covered - 1].term == snapshot.term;
@@ -163,8 +170,9 @@
     replayed.records.erase(replayed.records.begin(),
                            replayed.records.begin() + static_cast<std::ptrdiff_t>(covered));
     stored.records = std::move(replayed.records);
+  } else {
+    unfinished_base_ = BaseFrame(snapshot, stored.state, {});
   }
-  BOOST_LEAF_CHECK(Checkpoint(snapshot, stored.state, stored.records));
   return stored;
 }
 
@@ -172,6 +180,10 @@
 result<void> file_journal::RunRepaired(Operation&& operation) {
   if (needs_repair_) BOOST_LEAF_CHECK(Repair());
   needs_repair_ = true;
+  if (unfinished_base_) {
+    BOOST_LEAF_CHECK(WriteBase(*unfinished_base_));
+    unfinished_base_.reset();
+  }
   BOOST_LEAF_CHECK(operation());
   needs_repair_ = false;
   return {};
@@ -182,8 +194,8 @@
   BOOST_LEAF_CHECK(RemoveTemporaryFiles());
   // A failed call may have created the next segment.
   BOOST_LEAF_CHECK(files_.Remove(SegmentPath(segments_.back() + 1)));
-  BOOST_LEAF_CHECK(files_.Truncate(SegmentPath(segments_.back()), durable_bytes_));
-  return OpenSegment(segments_.back());
+  BOOST_LEAF_CHECK(OpenSegment(segments_.back()));
+  return files_.Truncate(SegmentPath(segments_.back()), durable_bytes_);
 }
 
 result<void> file_journal::Append(const hard_state* state, absl::Span<const log_record> records) {
@@ -199,19 +211,17 @@
                                       absl::Span<const log_record> records) {
   return RunRepaired([&]() -> result<void> {
     BOOST_LEAF_CHECK(WriteSnapshot(snapshot));
-    if (durable_bytes_ > 0) BOOST_LEAF_CHECK(OpenSegment(segments_.back() + 1));
-    journal_frame frame;
-    frame.state = state;
-    frame.base = true;
-    frame.base_index = snapshot.index;
-    frame.base_term = snapshot.term;
-    frame.records.assign(records.begin(), records.end());
-    BOOST_LEAF_CHECK(WriteFrame(frame));
-    RemoveOlderFilesIfPossible(segments_.back(), snapshot.index);
-    return {};
+    return WriteBase(BaseFrame(snapshot, state, records));
   });
 }
 
+result<void> file_journal::WriteBase(const journal_frame& frame) {
+  if (durable_bytes_ > 0) BOOST_LEAF_CHECK(OpenSegment(segments_.back() + 1));
+  BOOST_LEAF_CHECK(WriteFrame(frame));
+  RemoveOlderFilesIfPossible(segments_.back(), frame.base_index);
+  return {};
+}
+
 result<void> file_journal::WriteSnapshot(const log_snapshot& snapshot) {
   const std::string path = SnapshotPath(snapshot.index);
   const std::string temporary = absl::StrCat(path, kTemporarySuffix);
--- a/src/control/internal/member_core.cc
+++ b/src/control/internal/member_core.cc
@@ -72,13 +72,14 @@
     return {};
   }
   stored_log& stored = std::get<stored_log>(loaded);
-  raft_output initial;
   if (stored.state.member_id == 0) {
     while (stored.state.member_id == 0) stored.state.member_id = random_.Next();
     LOG(INFO) << "control: initialised an empty data directory with member id "
               << stored.state.member_id;
-    initial.state = stored.state;
   }
+  // Stored again, since the journal is durable only after its next write.
+  raft_output initial;
+  initial.state = stored.state;
   StartReplica(std::move(stored), now);
   if (!Persist(initial, now)) HoldOutput(std::move(initial), now);
   UpdateView(now);
--- a/src/control/internal/member_core.h
+++ b/src/control/internal/member_core.h
@@ -49,8 +49,9 @@
   member_core(control_member_settings settings, raft_storage& storage, random_source& random,
               raft_transport& transport, control_observer* observer);
 
-  /// Loads the stored state, and stores a new member id if there is none. Errors: kStorageFailed if
-  /// the journal cannot be opened. If it is damaged, the call succeeds and the role is kFailed.
+  /// Loads the stored state, with a new member id if there is none, and stores it. Errors:
+  /// kStorageFailed if the journal cannot be read. If it is damaged, the call succeeds and the role
+  /// is kFailed.
   result<void> Start(absl::Time now);
 
   void Receive(absl::string_view message, absl::Time now);
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -28,9 +28,11 @@
  public:
   virtual ~raft_storage() = default;
 
-  /// Returns the stored log. Must be called once, before the other functions. In an empty directory
-  /// the `member_id` is 0. Errors: kStorageCorrupt when durable data is damaged or missing;
-  /// kStorageFailed.
+  /// Returns the stored log. Stores no data, so that a full disk does not prevent it. Must be
+  /// called once, before the other functions. What it returns is durable only after the next
+  /// successful call, since the process may have been killed between a write and its sync. In an
+  /// empty directory the `member_id` is 0. Errors: kStorageCorrupt when durable data is damaged or
+  /// missing; kStorageFailed.
   virtual result<stored_log> Load() = 0;
 
   /// Makes the state, unless it is null, and the records durable with one sync. A record replaces
@@ -57,10 +59,10 @@
 /// last successful sync covers, and then writes the whole frame again: a second sync alone would
 /// succeed although the kernel may have dropped the data.
 ///
-/// `Load` syncs the last segment, so that everything that it returns is durable. At load, an
-/// incomplete frame at the end of the last segment is removed, since it was never acknowledged. A
-/// complete frame with a wrong checksum is damage, also at the end, because it may have been
-/// acknowledged.
+/// At load, an incomplete frame at the end of the last segment is ignored until the first write
+/// removes it, since it was never
+/// acknowledged. A complete frame with a wrong checksum is damage, also at the end, because it may
+/// have been acknowledged.
 class file_journal : public raft_storage {
  public:
   /// `files` must outlive the journal.
@@ -88,9 +90,11 @@
   result<stored_log> BuildStoredLog(replay_state replayed);
   result<void> WriteSnapshot(const log_snapshot& snapshot);
   result<void> WriteFrame(const journal_frame& frame);
+  // Starts a segment with a base frame and removes the files before it.
+  result<void> WriteBase(const journal_frame& frame);
   result<void> WriteAndSync(append_file& file, absl::string_view bytes);
   result<void> OpenSegment(uint64_t number);
-  // Removes what a failed operation has left behind.
+  // Removes what a failed operation or a restart has left behind, and makes the rest durable.
   result<void> Repair();
   result<void> RemoveTemporaryFiles();
   result<void> RemoveOlderFiles(uint64_t first_segment, uint64_t first_snapshot);
@@ -99,7 +103,8 @@
   std::string SegmentPath(uint64_t number) const;
   std::string SnapshotPath(uint64_t index) const;
 
-  // Runs an operation that writes, after a repair if the previous one has failed.
+  // Runs an operation that writes, after a repair if it is the first one or the previous one has
+  // failed.
   template <class Operation>
   result<void> RunRepaired(Operation&& operation);
 
@@ -110,9 +115,12 @@
   std::vector<uint64_t> snapshots_;
   // The last segment. Null only while a repair is necessary.
   std::unique_ptr<append_file> segment_;
-  // Length of the last segment that is durable, in bytes.
+  // Length of the last segment that is durable, or will be after a repair, in bytes.
   size_t durable_bytes_ = 0;
   bool needs_repair_ = false;
+  // The base frame that a checkpoint before the last restart has not written, although its snapshot
+  // is stored.
+  absl::optional<journal_frame> unfinished_base_;
 };
 
 }  // namespace teaseljunction
--- a/src/control/tests/journal_test.cc
+++ b/src/control/tests/journal_test.cc
@@ -109,7 +109,7 @@
 // Guards against a crash that leaves a state other than the one before or the one after the
 // interrupted step.
 TEST_CASE("a crash at any disk operation leaves the old or the new state") {
-  for (uint64_t operations = 0; operations < 100; ++operations) {
+  for (uint64_t operations = 0; operations < 140; ++operations) {
     for (int variant = 0; variant < 60; ++variant) {
       memory_file_system files(operations * 100 + static_cast<uint64_t>(variant));
       size_t done = 0;
@@ -137,8 +137,8 @@
 // Guards against a refused write that can't be repeated, against a repeated one that loses or
 // doubles data, and against a sync that is trusted after an earlier one has lost the data.
 TEST_CASE("a step that the disk refuses for a while succeeds when it is repeated") {
-  for (uint64_t operations = 0; operations < 100; ++operations) {
-    for (int variant = 0; variant < 40; ++variant) {
+  for (uint64_t operations = 0; operations < 140; ++operations) {
+    for (int variant = 0; variant < 50; ++variant) {
       const uint64_t faults = 1 + static_cast<uint64_t>(variant) / kDiskFaults;
       INFO("operations " << operations << ", variant " << variant);
       memory_file_system files(operations * 100 + static_cast<uint64_t>(variant));
@@ -163,8 +163,8 @@
 
 // Guards against records and votes that are relied on after the process was killed before their
 // sync, and that a later power loss removes.
-TEST_CASE("what a journal loads survives a power loss after a kill of the process") {
-  for (uint64_t operations = 0; operations < 100; ++operations) {
+TEST_CASE("a journal loads while the disk is full, and its next write makes that durable") {
+  for (uint64_t operations = 0; operations < 140; ++operations) {
     for (int variant = 0; variant < 10; ++variant) {
       memory_file_system files(operations * 100 + static_cast<uint64_t>(variant));
       {
@@ -177,10 +177,18 @@
           if (ErrorOf([&] { return next(journal); })) break;
         }
       }
-      files.ClearFaults();
+      files.FailAfter(0, disk_fault::kFull);
       const std::string loaded = LoadAndDescribe(files);
       INFO("operations " << operations << ", variant " << variant << ", loaded " << loaded);
-      CHECK(LoadAndDescribe(*files.DurableCopy()) == loaded);
+      file_journal journal(files, "data");
+      REQUIRE_FALSE(ErrorOf([&] { return journal.Load(); }));
+      const hard_state state = MakeState(4);
+      const absl::string_view term = "term 4";
+      CHECK(ErrorOf([&] { return journal.Append(&state, {}); }) == error_kind::kStorageFailed);
+      files.ClearFaults();
+      REQUIRE_FALSE(ErrorOf([&] { return journal.Append(&state, {}); }));
+      const std::string durable = LoadAndDescribe(*files.DurableCopy());
+      CHECK(durable == absl::StrCat(term, loaded.substr(term.size())));
     }
   }
 }
@@ -188,7 +196,7 @@
 // Guards against a snapshot that is given up and leaves a log that loses later records.
 TEST_CASE("appends go on after a refused snapshot of the applied state") {
   for (uint64_t operations = 0; operations < 20; ++operations) {
-    for (int variant = 0; variant < 40; ++variant) {
+    for (int variant = 0; variant < 50; ++variant) {
       memory_file_system files(operations * 100 + static_cast<uint64_t>(variant));
       {
         file_journal journal(files, "data");
--- a/src/control/tests/mocks/memory_file_system.cc
+++ b/src/control/tests/mocks/memory_file_system.cc
@@ -15,7 +15,7 @@
       file_->content.append(data.data(), data.size() / 2);
     }
     size_t written = 0;
-    BOOST_LEAF_CHECK(files_.RunOperation([&] {
+    BOOST_LEAF_CHECK(files_.RunOperation(true, [&] {
       // Short writes are allowed by the interface.
       written = 1 + files_.random_.Below(data.size());
       file_->content.append(data.data(), written);
@@ -28,7 +28,7 @@
       if (file_->lost_begin == file_->lost_end) file_->lost_begin = file_->synced;
       file_->lost_end = file_->content.size();
     }
-    return files_.RunOperation([&] {
+    return files_.RunOperation(file_->content.size() > file_->synced, [&] {
       ++files_.sync_count_;
       file_->synced = file_->content.size();
     });
@@ -53,16 +53,16 @@
 }  // namespace
 
 template <class Change>
-result<void> memory_file_system::RunOperation(Change&& change) {
+result<void> memory_file_system::RunOperation(bool needs_space, Change&& change) {
   ++operation_count_;
-  if (IsFaultDue()) {
+  if (IsFaultDue() && (needs_space || fault_ != disk_fault::kFull)) {
     ++fault_count_;
     if (!failed_ && fault_ == disk_fault::kAfterOperation) change();
     failed_ = true;
     if (--remaining_faults_ == 0) fault_armed_ = false;
     return Fail(error_kind::kStorageFailed, "injected");
   }
-  if (fault_armed_) --operations_until_fault_;
+  if (fault_armed_ && operations_until_fault_ > 0) --operations_until_fault_;
   change();
   return {};
 }
@@ -142,7 +142,7 @@
 }
 
 result<std::unique_ptr<append_file>> memory_file_system::OpenAppend(const std::string& path) {
-  BOOST_LEAF_CHECK(RunOperation([&] {
+  BOOST_LEAF_CHECK(RunOperation(files_.count(path) == 0, [&] {
     std::shared_ptr<file>& entry = files_[path];
     if (entry) return;
     entry = std::make_shared<file>();
@@ -152,7 +152,7 @@
 }
 
 result<void> memory_file_system::Truncate(const std::string& path, size_t size) {
-  return RunOperation([&] {
+  return RunOperation(files_[path]->synced < size, [&] {
     file& entry = *files_[path];
     entry.content.resize(size);
     entry.synced = size;
@@ -162,7 +162,7 @@
 }
 
 result<void> memory_file_system::Rename(const std::string& from, const std::string& to) {
-  return RunOperation([&] {
+  return RunOperation(false, [&] {
     files_[to] = files_[from];
     files_.erase(from);
     history_.push_back(files_);
@@ -170,14 +170,14 @@
 }
 
 result<void> memory_file_system::Remove(const std::string& path) {
-  return RunOperation([&] {
+  return RunOperation(false, [&] {
     files_.erase(path);
     history_.push_back(files_);
   });
 }
 
 result<void> memory_file_system::SyncDirectory(const std::string&) {
-  return RunOperation([&] { history_ = {files_}; });
+  return RunOperation(false, [&] { history_ = {files_}; });
 }
 
 }  // namespace teaseljunction
--- a/src/control/tests/mocks/memory_file_system.h
+++ b/src/control/tests/mocks/memory_file_system.h
@@ -28,9 +28,15 @@
 
 /// Whether the failing operation is not carried out, carried out, or carried out in part. With
 /// `kLostPages`, a failed sync loses the unsynced data although reads still return it, and later
-/// syncs succeed without it.
-enum class disk_fault : uint8_t { kBeforeOperation, kAfterOperation, kPartialWrite, kLostPages };
-constexpr uint64_t kDiskFaults = 4;
+/// syncs succeed without it. `kFull` refuses only operations that need space.
+enum class disk_fault : uint8_t {
+  kBeforeOperation,
+  kAfterOperation,
+  kPartialWrite,
+  kLostPages,
+  kFull
+};
+constexpr uint64_t kDiskFaults = 5;
 
 /// A single directory in memory, with injected faults and crashes that lose unsynced data.
 class memory_file_system : public file_system {
@@ -83,7 +89,7 @@
 
   // Applies a change unless a fault is due.
   template <class Change>
-  result<void> RunOperation(Change&& change);
+  result<void> RunOperation(bool needs_space, Change&& change);
   bool IsFaultDue() const { return fault_armed_ && operations_until_fault_ == 0; }
   static void DropLostData(file& entry);
 
