Limit the nesting of JSON texts on every interface

What operators saw: one configuration with a deeply nested value ended the process of the control host that read it. Its sender gets no answer and goes on to the next host.

Cause and class: recursion whose depth the input decides. The JSON parser is iterative, but copies of its result are recursive, and the decoder of configurations copied a member of the document (the settings file has the same copy). ParseJson checks the nesting of a text, at most 32 levels, before it is parsed; all decoders that use this parser go through it.

By reading only: the operators' tool, whose codec limits the nesting itself.

--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "common/json.h"
 #include "common/log.h"
 #include "http/problem.h"
 #include "manifest/manifest_codec.h"
@@ -92,7 +93,7 @@
 }
 
 result<command> ParseMemberChange(absl::string_view body) {
-  const json document = json::parse(body.begin(), body.end(), nullptr, false);
+  BOOST_LEAF_AUTO(document, ParseJson(body, error_kind::kMalformedRequest));
   if (!document.is_object()) {
     return Fail(error_kind::kMalformedRequest, "The body is not a JSON object.");
   }
--- a/src/gateway/internal/target_announcement_handler.cc
+++ b/src/gateway/internal/target_announcement_handler.cc
@@ -1,11 +1,11 @@
 #include "gateway/target_announcement_handler.h"
 
 #include <cmath>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "common/json.h"
 #include "http/problem.h"
 #include "membership/announcement_check.h"
 
@@ -51,7 +51,7 @@
 }
 
 result<target_announcement> ParseAnnouncement(absl::string_view body) {
-  const json document = json::parse(body.begin(), body.end(), nullptr, false);
+  BOOST_LEAF_AUTO(document, ParseJson(body, error_kind::kMalformedRequest));
   if (!document.is_object()) {
     return Fail(error_kind::kMalformedRequest, "The announcement is not a JSON object.");
   }
