Leave out directory entries and probed targets that cannot be used

What callers saw: an entry of the directory, or the answer to a probe of the local target, was used as it came. Calls went to daemons with an address that cannot be called, and a load that is not a number never equals itself, so that the leader would publish a new version of the directory with every heartbeat.

A daemon of a directory that cannot be called is now left out when the message is decoded, the other entries are kept, and a daemon whose target cannot be used has none. The leader ignores a heartbeat of a daemon that cannot be called; its sync is answered. A probed target passes the same check as an announced one.

Evidence on the code before this commit: the new test of the conversions failed for all 16 odd entries and the new rows of the probe's test for all 3 answers; now they pass. The version storm and the leader's part are from reading, not from a run. The target's address in the sample of the conversion tests was a host name, "a:2", and is now an IP address: a target at a host name is no longer kept.

Ruled out by a run with a real process: random bytes and four odd message headers at the RPC port do not end it. Not covered: a daemon's own incarnation at the top of its range.

--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "daemon/account_rates.h"
+#include "membership/announcement_check.h"
 
 namespace teaseljunction {
 
@@ -80,7 +81,9 @@
 directory_update leader_service::UpdateDirectory(const sync_request& request, absl::Time now,
                                                  uint64_t& newer_incarnation) {
   absl::MutexLock lock(&directory_mutex_);
-  if (!directory_.Heartbeat(request.daemon, now)) {
+  if (const auto problem = FindDaemonError(request.daemon)) {
+    LOG(WARNING) << "membership: heartbeat ignored: " << *problem;
+  } else if (!directory_.Heartbeat(request.daemon, now)) {
     newer_incarnation = directory_.KnownIncarnation(request.daemon.daemon_id);
   }
   const size_t removed = directory_.Expire(now);
@@ -98,7 +101,7 @@
   absl::optional<command> change;
   {
     absl::MutexLock lock(&planner_mutex_);
-    if (daemon.control_member_id != 0) {
+    if (daemon.control_member_id != 0 && !FindDaemonError(daemon)) {
       planner_.RecordContact(daemon.control_member_id, daemon.address, daemon.data_centre, now);
     }
     change = planner_.NextChange(status.members, status.member_id, now);
--- a/src/daemon/internal/target_probe.cc
+++ b/src/daemon/internal/target_probe.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
+#include "membership/announcement_check.h"
 
 namespace teaseljunction {
 namespace {
@@ -77,6 +78,7 @@
   found.service = target_.service;
   found.address = target_.address;
   found.warm_up_remaining = absl::ZeroDuration();
+  if (FindAnnouncementError(found)) return absl::nullopt;
   return found;
 }
 
--- a/src/daemon/tests/target_probe_test.cc
+++ b/src/daemon/tests/target_probe_test.cc
@@ -59,7 +59,10 @@
                                  {200, {{"Load", "3,0,8"}}},
                                  {200, {{"Id", "i-1"}}},
                                  {200, {{"Id", "i-1"}, {"Load", "3,0"}}},
-                                 {200, {{"Id", "i-1"}, {"Load", "3,0,-8"}}}};
+                                 {200, {{"Id", "i-1"}, {"Load", "3,0,-8"}}},
+                                 {200, {{"Id", "i-1"}, {"Load", "3,0,4294967295"}}},
+                                 {200, {{"Id", "i\r\n1"}, {"Load", "3,0,8"}}},
+                                 {200, {{"Id", std::string(300, 'i')}, {"Load", "3,0,8"}}}};
   for (const response_case& unusable : cases) {
     probe_fixture fixture;
     fixture.probe.Start("/healthz");
--- a/src/membership/announcement_check.h
+++ b/src/membership/announcement_check.h
@@ -17,4 +17,8 @@
 /// comes from outside the process must pass this check before it is used.
 absl::optional<std::string> FindAnnouncementError(const target_announcement& announced);
 
+/// Returns why `daemon` names no daemon that can be called, or nullopt when it does. The target of
+/// the daemon is not checked.
+absl::optional<std::string> FindDaemonError(const daemon_announcement& daemon);
+
 }  // namespace teaseljunction
--- a/src/membership/internal/announcement_check.cc
+++ b/src/membership/internal/announcement_check.cc
@@ -11,9 +11,11 @@
 
 constexpr size_t kMaxNameBytes = 256;
 
-bool HasControlCharacter(absl::string_view text) {
-  return std::any_of(text.begin(), text.end(),
-                     [](char c) { return absl::ascii_iscntrl(static_cast<unsigned char>(c)); });
+// Names are written to logs.
+bool IsName(absl::string_view text) {
+  return text.size() <= kMaxNameBytes && std::none_of(text.begin(), text.end(), [](char c) {
+           return absl::ascii_iscntrl(static_cast<unsigned char>(c));
+         });
 }
 
 // The id is sent in a header of each request to the target.
@@ -30,8 +32,7 @@
 
 constexpr announcement_rule kRules[] = {
     {[](const target_announcement& announced) {
-       return !announced.service.empty() && announced.service.size() <= kMaxNameBytes &&
-              !HasControlCharacter(announced.service);
+       return !announced.service.empty() && IsName(announced.service);
      },
      "The service is empty, too long or has control characters."},
     {[](const target_announcement& announced) { return announced.incarnation <= kMaxIncarnation; },
@@ -51,6 +52,19 @@
 
 }  // namespace
 
+absl::optional<std::string> FindDaemonError(const daemon_announcement& daemon) {
+  if (daemon.daemon_id.empty() || !IsName(daemon.daemon_id)) {
+    return "The id of the daemon is empty, too long or has control characters.";
+  }
+  if (!IsName(daemon.data_centre)) {
+    return "The data centre is too long or has control characters.";
+  }
+  if (!IsRemoteAddress(daemon.address)) {
+    return "The address of the daemon is not \"IP:port\" with a port from 1 to 65535.";
+  }
+  return absl::nullopt;
+}
+
 absl::optional<std::string> FindAnnouncementError(const target_announcement& announced) {
   for (const announcement_rule& rule : kRules) {
     if (!rule.is_met(announced)) return std::string(rule.problem);
--- a/src/rpc/internal/convert_sync.cc
+++ b/src/rpc/internal/convert_sync.cc
@@ -1,5 +1,9 @@
 #include "rpc/internal/convert.h"
 
+#include <utility>
+
+#include "membership/announcement_check.h"
+
 namespace teaseljunction {
 namespace {
 
@@ -66,7 +70,9 @@
   directory.full = in.getWhole();
   directory.settled = in.getSettled();
   for (const auto entry : in.getEntries()) {
-    directory.entries.push_back({teaseljunction::Decode(entry.getDaemon()), entry.getPresent()});
+    daemon_announcement daemon = teaseljunction::Decode(entry.getDaemon());
+    if (FindDaemonError(daemon)) continue;
+    directory.entries.push_back({std::move(daemon), entry.getPresent()});
   }
   return directory;
 }
@@ -101,7 +107,10 @@
   value.incarnation = in.getIncarnation();
   value.address = FromText(in.getAddress());
   value.data_centre = FromText(in.getDataCentre());
-  if (in.hasTarget()) value.target = Decode(in.getTarget());
+  if (in.hasTarget()) {
+    target_announcement target = Decode(in.getTarget());
+    if (!FindAnnouncementError(target)) value.target = std::move(target);
+  }
   value.draining = in.getDraining();
   value.manifest_version = in.getManifestVersion();
   value.control_member_id = in.getControlMemberId();
--- a/src/rpc/tests/convert_test.cc
+++ b/src/rpc/tests/convert_test.cc
@@ -3,6 +3,8 @@
 #include <capnp/message.h>
 
 #include <catch2/catch.hpp>
+#include <cmath>
+#include <functional>
 
 namespace teaseljunction {
 namespace {
@@ -34,8 +36,9 @@
 const call_answer kAnswer = {201, {{"A", "1"}, {"B", ""}}, std::string("x\0y", 3)};
 
 daemon_announcement Daemon() {
-  return {"d1", 2, "127.0.0.1:1", "dc1", target_announcement{"orders", 3, 4, true, 0.5, "a:2"},
-          true, 9};
+  return {
+      "d1", 2, "127.0.0.1:1", "dc1", target_announcement{"orders", 3, 4, true, 0.5, "10.0.0.1:2"},
+      true, 9};
 }
 
 }  // namespace
@@ -134,6 +137,47 @@
   CHECK(decoded.level.priority == request_priority::kLow);
 }
 
+// Guards against an entry of the directory that cannot be used and ends or blocks its readers.
+TEST_CASE("entries that cannot be used are left out of a directory and the others are kept") {
+  struct row {
+    const char* what;
+    std::function<void(daemon_announcement&)> change;
+    bool keeps_daemon;
+  };
+  const std::string huge(1'000'000, 'x');
+  const row rows[] = {
+      {"no id", [](auto& daemon) { daemon.daemon_id = ""; }, false},
+      {"huge id", [&](auto& daemon) { daemon.daemon_id = huge; }, false},
+      {"id with a line break", [](auto& daemon) { daemon.daemon_id = "d\n2"; }, false},
+      {"huge data centre", [&](auto& daemon) { daemon.data_centre = huge; }, false},
+      {"no address", [](auto& daemon) { daemon.address = ""; }, false},
+      {"port 0", [](auto& daemon) { daemon.address = "127.0.0.1:0"; }, false},
+      {"port out of range", [](auto& daemon) { daemon.address = "127.0.0.1:65536"; }, false},
+      {"host name", [](auto& daemon) { daemon.address = "daemon.example:1"; }, false},
+      {"load NaN", [](auto& daemon) { daemon.target->load = std::nan(""); }, true},
+      {"load above 1", [](auto& daemon) { daemon.target->load = 1e300; }, true},
+      {"too many slots", [](auto& daemon) { daemon.target->slots = UINT32_MAX; }, true},
+      {"incarnation", [](auto& daemon) { daemon.target->incarnation = UINT64_MAX; }, true},
+      {"no service", [](auto& daemon) { daemon.target->service = ""; }, true},
+      {"huge service", [&](auto& daemon) { daemon.target->service = huge; }, true},
+      {"target's address", [](auto& daemon) { daemon.target->address = "a\xff:0"; }, true},
+      {"target's id", [](auto& daemon) { daemon.target->target_id = "i\r\nX: y"; }, true},
+  };
+  for (const row& odd : rows) {
+    CAPTURE(odd.what);
+    daemon_announcement changed = Daemon();
+    changed.daemon_id = "odd";
+    odd.change(changed);
+    sync_response response;
+    response.directory = {5, 6, true, true, {{Daemon()}, {changed}, {Daemon()}}};
+    const auto entries = RoundTrip<wire::SyncResponse>(response).directory.entries;
+    CHECK(entries.size() == (odd.keeps_daemon ? 3 : 2));
+    CHECK(entries.front().daemon == Daemon());
+    CHECK(entries.back().daemon == Daemon());
+    if (odd.keeps_daemon) CHECK_FALSE(entries.at(1).daemon.target);
+  }
+}
+
 // Guards against a field that is added to a native type but not to its wire form: the structured
 // bindings then no longer compile. Such a fault broke the rate limits of client accounts, because a
 // token demand lost its number of waiting calls.
