Show the status when a name is not valid UTF-8

What operators saw: asked for its status, a daemon that knew another daemon or target by a name that is not valid UTF-8 ended.

Cause and class: an exception across a boundary. json::dump throws for such a text, and HTTP handlers are called from libmicrohttpd, where nothing catches. Names come over RPC from other daemons. Invalid bytes are now replaced in the answer.

Evidence: the new test of the handler failed before with type_error.316, "invalid UTF-8 byte"; now it passes. That the exception ends a real process was read in the code, not run.

Ruled out: problem documents, which escape all bytes from 0x7f on.

--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -22,7 +22,10 @@
 constexpr absl::Duration kProposeTimeout = absl::Seconds(8);
 
 http_response JsonResponse(const json& document) {
-  return {kOk, {{"Content-Type", "application/json"}}, document.dump()};
+  // Names from other daemons may not be valid UTF-8.
+  return {kOk,
+          {{"Content-Type", "application/json"}},
+          document.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
 absl::string_view RoleName(member_role role) {
