Add control members only with an address that can be called

What operators saw: a member with any text as its address was proposed to the control group and stored in its log.

Cause and class: missing validation at a boundary, as for announcements. The address must now be "IP:port" with a port from 1 to 65535, which a member's listening address must be as well.

Evidence: the new test failed before for all 6 odd addresses, each of which was proposed; now they are refused as malformed. What such a member did to the group was not run.

--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "common/json.h"
 #include "common/log.h"
+#include "common/sockets.h"
 #include "http/problem.h"
 #include "manifest/manifest_codec.h"
 
@@ -109,8 +110,12 @@
     if (action == "promote") return command(promote_learner{member_id});
     if (action == "remove") return command(remove_member{member_id});
     if (action == "add") {
-      return command(add_learner{member_id, document.at("address").get<std::string>(),
-                                 document.at("dataCentre").get<std::string>()});
+      const auto address = document.at("address").get<std::string>();
+      if (!IsRemoteAddress(address)) {
+        return Fail(error_kind::kMalformedRequest,
+                    "address must be \"IP:port\" with a port from 1 to 65535.");
+      }
+      return command(add_learner{member_id, address, document.at("dataCentre").get<std::string>()});
     }
     return Fail(error_kind::kMalformedRequest, "action must be add, promote or remove.");
   } catch (const json::exception& failure) {
--- a/src/daemon/tests/operator_handler_test.cc
+++ b/src/daemon/tests/operator_handler_test.cc
@@ -6,12 +6,14 @@
 #include <utility>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "gateway/tests/mocks/virtual_scheduler.h"
 
 namespace teaseljunction {
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 
 struct recorded_exchange : http_exchange {
   void Respond(http_response sent) override { response = std::move(sent); }
@@ -79,4 +81,25 @@
   CHECK(absl::StrContains(shown.body, "127.0.0.1:1"));
 }
 
+// Guards against a member that no other member can reach.
+TEST_CASE("control members are added only with an address that can be called") {
+  struct row {
+    const char* address;
+    int status;
+  };
+  for (const row& added : {row{"127.0.0.1:7", kOk}, row{"[::1]:65535", kOk}, row{"", kBadRequest},
+                           row{"127.0.0.1", kBadRequest}, row{"127.0.0.1:0", kBadRequest},
+                           row{"127.0.0.1:65536", kBadRequest}, row{"127.0.0.1:-1", kBadRequest},
+                           row{"member.example:7", kBadRequest}}) {
+    CAPTURE(added.address);
+    operators_fixture fixture;
+    const http_response response = fixture.Send(
+        "POST", "/teaseljunction/v1/members",
+        absl::StrCat(R"({"memberId":"5","action":"add","dataCentre":"dc1","address":")",
+                     added.address, "\"}"));
+    CHECK(response.status == added.status);
+    CHECK(fixture.control.proposals == (added.status == kOk ? 1 : 0));
+  }
+}
+
 }  // namespace teaseljunction
