--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -6,7 +6,9 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "common/json.h"
 #include "common/log.h"
+#include "common/sockets.h"
 #include "http/problem.h"
 #include "manifest/manifest_codec.h"
 
@@ -21,7 +23,10 @@
 constexpr absl::Duration kProposeTimeout = absl::Seconds(8);
 
 http_response JsonResponse(const json& document) {
-  return {kOk, {{"Content-Type", "application/json"}}, document.dump()};
+  // Names from other daemons may not be valid UTF-8.
+  return {kOk,
+          {{"Content-Type", "application/json"}},
+          document.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
 absl::string_view RoleName(member_role role) {
@@ -92,7 +97,7 @@
 }
 
 result<command> ParseMemberChange(absl::string_view body) {
-  const json document = json::parse(body.begin(), body.end(), nullptr, false);
+  BOOST_LEAF_AUTO(document, ParseJson(body, error_kind::kMalformedRequest));
   if (!document.is_object()) {
     return Fail(error_kind::kMalformedRequest, "The body is not a JSON object.");
   }
@@ -105,8 +110,12 @@
     if (action == "promote") return command(promote_learner{member_id});
     if (action == "remove") return command(remove_member{member_id});
     if (action == "add") {
-      return command(add_learner{member_id, document.at("address").get<std::string>(),
-                                 document.at("dataCentre").get<std::string>()});
+      const auto address = document.at("address").get<std::string>();
+      if (!IsRemoteAddress(address)) {
+        return Fail(error_kind::kMalformedRequest,
+                    "address must be \"IP:port\" with a port from 1 to 65535.");
+      }
+      return command(add_learner{member_id, address, document.at("dataCentre").get<std::string>()});
     }
     return Fail(error_kind::kMalformedRequest, "action must be add, promote or remove.");
   } catch (const json::exception& failure) {
