Close all listeners of a stopping daemon at the same time

A process that is killed cuts what it still holds.

Cause: bounded waits that are added up without a bound on their sum.

Now the listeners other than that for callers are drained at the same time, as a part of the stop.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <ctime>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include "common/clock_source.h"
 #include "common/log.h"
@@ -24,7 +26,7 @@
 namespace {
 
 constexpr absl::Duration kIdleCheckInterval = absl::Milliseconds(20);
-constexpr absl::Duration kOperatorsDrainTimeout = absl::Milliseconds(200);
+constexpr absl::Duration kOtherListenersDrainTimeout = absl::Milliseconds(200);
 // Child calls that arrive after the drain delay end this long before the drain timeout, so that
 // their targets' responses can still be sent.
 constexpr absl::Duration kChildCallMargin = absl::Milliseconds(200);
@@ -89,6 +91,9 @@
   void WaitForStop();
   bool Drain();
   bool WaitUntilIdle(absl::Time deadline);
+  // Drains all listeners except that for callers at the same time, because each may wait for
+  // clients that do not read.
+  void DrainOtherListeners();
   // Logs how far the planned shutdown has come and which calls it still waits for.
   void LogDrainStep(absl::string_view step);
 
@@ -318,6 +323,16 @@
   return false;
 }
 
+void daemon_process_impl::DrainOtherListeners() {
+  std::vector<std::thread> drains;
+  const auto drain = [&drains](http_server& server) {
+    drains.emplace_back([&server] { server.Drain(kOtherListenersDrainTimeout); });
+  };
+  drain(*operators_server_);
+  for (const auto& server : additional_servers_) drain(*server);
+  for (std::thread& thread : drains) thread.join();
+}
+
 bool daemon_process_impl::Drain() {
   const absl::Time accept_until = drain_started_at_ + settings_.drain_delay;
   const absl::Time deadline = accept_until + settings_.drain_timeout;
@@ -339,7 +354,7 @@
   finished = pending_work_.WaitUntilIdle(deadline - clock_.Now()) && finished;
   finished = rpc_server_->Drain(deadline - clock_.Now()) && finished;
   LogDrainStep("server for daemons stopped");
-  operators_server_->Drain(kOperatorsDrainTimeout);
+  DrainOtherListeners();
   return finished;
 }
 
--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -528,6 +528,32 @@
   CHECK_FALSE(fixture.far->target.HasReceived("/order/half"));
 }
 
+// Guards against a stop that exceeds its grace period because listeners wait one after the other
+// for clients that read nothing.
+TEST_CASE("a stop has closed all listeners when it ends") {
+  class unread_handler : public http_handler {
+   public:
+    void Handle(http_request, std::shared_ptr<http_exchange> exchange) override {
+      exchange->Respond({200, {}, std::string(size_t{16} << 20, 'x')});
+    }
+  };
+  unread_handler handler;
+  const planned_stop_fixture fixture(absl::Milliseconds(200), absl::Seconds(1));
+  std::vector<uint16_t> ports = {PortOf(fixture.near->settings.listen),
+                                 PortOf(fixture.near->settings.operators_listen)};
+  std::vector<raw_socket> clients;
+  for (int i = 0; i < 2; ++i) {
+    const std::string address = UnusedAddress();
+    REQUIRE(fixture.near->daemon->AddListener(address, handler));
+    ports.push_back(PortOf(address));
+    clients.push_back(raw_socket::Connect(ports.back()));
+    clients.back().Write("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  }
+  fixture.near->daemon->RequestStop();
+  CHECK(fixture.WaitForEnd());
+  for (const uint16_t port : ports) CHECK_FALSE(raw_socket::Connect(port).connected());
+}
+
 // Guards against an order whose repeat is refused as in progress, because the daemon that holds its
 // claim stopped before its outcome was known.
 TEST_CASE("a stop waits for the outcome of an order whose caller has left") {
