--- a/src/rpc/internal/convert_sync.cc
+++ b/src/rpc/internal/convert_sync.cc
@@ -1,8 +1,7 @@
-#include "rpc/internal/convert.h"
-
 #include <utility>
 
 #include "membership/announcement_check.h"
+#include "rpc/internal/convert.h"
 
 namespace teaseljunction {
 namespace {
