--- a/src/bench/internal/soak.cc
+++ b/src/bench/internal/soak.cc
@@ -20,6 +20,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
+#include "absl/types/span.h"
 #include "common/digest.h"
 #include "common/sockets.h"
 #include "common/types.h"
@@ -109,37 +110,49 @@
 
   void Close() {
     if (fd_ >= 0) close(std::exchange(fd_, -1));
+    received_.clear();
   }
 
   // Returns true when the daemon has sent bytes for which no request was waiting. Notices when it
   // has closed the connection.
   bool HasUnexpectedInput() {
+    if (!received_.empty()) return true;
     char byte = 0;
     const ssize_t size = recv(fd_, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
     if (size == 0 || (size < 0 && errno != EAGAIN)) Close();
     return size > 0;
   }
 
-  received_answer Send(absl::string_view message) {
-    while (!message.empty()) {
-      const ssize_t sent = send(fd_, message.data(), message.size(), MSG_NOSIGNAL);
+  // Sends `count` requests at once and returns the answer to each of them.
+  std::vector<received_answer> Send(absl::string_view messages, size_t count) {
+    while (!messages.empty()) {
+      const ssize_t sent = send(fd_, messages.data(), messages.size(), MSG_NOSIGNAL);
       if (sent <= 0) break;
-      message.remove_prefix(static_cast<size_t>(sent));
+      messages.remove_prefix(static_cast<size_t>(sent));
     }
-    received_answer answer = Receive();
-    const auto connection = FindHeader(answer.headers, "Connection");
-    if (answer.end != answer_end::kComplete || (connection && *connection == "close")) Close();
-    return answer;
+    std::vector<received_answer> answers;
+    bool is_last = false;
+    while (answers.size() < count) {
+      answers.push_back(Receive());
+      const auto connection = FindHeader(answers.back().headers, "Connection");
+      is_last =
+          answers.back().end != answer_end::kComplete || (connection && *connection == "close");
+    }
+    if (is_last) Close();
+    return answers;
   }
 
  private:
-  received_answer Receive() const {
-    std::string data;
+  received_answer Receive() {
+    std::string& data = received_;
     std::array<char, 16384> part = {};
-    while (true) {
-      const ssize_t size = recv(fd_, part.data(), part.size(), 0);
-      if (size <= 0) return {.end = EndOf(data.empty(), size < 0 ? errno : 0)};
-      data.append(part.data(), static_cast<size_t>(size));
+    // Bytes behind the previous answer come first.
+    for (bool reads = data.empty();; reads = true) {
+      if (reads) {
+        const ssize_t size = recv(fd_, part.data(), part.size(), 0);
+        if (size <= 0) return {.end = EndOf(data.empty(), size < 0 ? errno : 0)};
+        data.append(part.data(), static_cast<size_t>(size));
+      }
       const size_t head_end = data.find("\r\n\r\n");
       if (head_end == std::string::npos) continue;
       received_answer answer = ParseHead(absl::string_view(data).substr(0, head_end));
@@ -148,7 +161,8 @@
         return {.end = answer_end::kIncomplete};
       }
       if (data.size() < head_end + 4 + length) continue;
-      answer.body = data.substr(head_end + 4);
+      answer.body = data.substr(head_end + 4, length);
+      data.erase(0, head_end + 4 + length);
       return answer;
     }
   }
@@ -179,6 +193,8 @@
   const std::string name_;
   const socket_address address_;
   int fd_ = -1;
+  // Received bytes that belong to no answer returned so far.
+  std::string received_;
 };
 
 class soak_run {
@@ -217,40 +233,60 @@
     for (uint64_t i = 0; absl::Now() < end; ++i) {
       const std::string identity = absl::StrCat("soak-", settings_.seed, "-", number, "-", i);
       const bool is_order = random() % 3 == 0;
-      sent_request request = {.method = is_order ? "POST" : "GET",
-                              .path = is_order ? "/orders" : absl::StrCat("/stock/", identity),
-                              .identity = identity,
-                              .body = is_order ? absl::StrCat("order ", identity) : ""};
-      const bool answered = Attempt(connection, request, end);
+      const sent_request request = {
+          .method = is_order ? "POST" : "GET",
+          .path = is_order ? "/orders" : absl::StrCat("/stock/", identity),
+          .identity = identity,
+          .body = is_order ? absl::StrCat("order ", identity) : ""};
+      std::vector<sent_request> requests = {request};
+      // Some callers send the next request before they have the answer to the previous one.
+      if (random() % 4 == 0) {
+        requests.push_back({.method = "GET",
+                            .path = absl::StrCat("/stock/", identity, "-next"),
+                            .identity = absl::StrCat(identity, "-next")});
+      }
+      const bool answered = Attempt(connection, absl::MakeSpan(requests), end);
       // Callers repeat an order whose outcome they do not know, and some do so needlessly.
-      if (is_order && (!answered || random() % 10 == 0)) Attempt(connection, request, end);
+      if (is_order && (!answered || random() % 10 == 0)) {
+        Attempt(connection, absl::MakeSpan(requests).first(1), end);
+      }
       {
         absl::MutexLock lock(&mutex_);
-        sent_.push_back(std::move(request));
+        for (sent_request& sent : requests) sent_.push_back(std::move(sent));
       }
       absl::SleepFor(absl::Milliseconds(random() % kMaxThinkTimeMs));
     }
   }
 
-  // Returns true when the request got the answer of a target.
-  bool Attempt(soak_connection& connection, sent_request& request, absl::Time end) {
+  // Sends the requests at once. Returns true when the first one got the answer of a target.
+  bool Attempt(soak_connection& connection, absl::Span<sent_request> requests, absl::Time end) {
     if (connection.IsOpen() && connection.HasUnexpectedInput()) {
-      Violate(kAnswerOfRequest, request, "bytes before the request");
+      Violate(kAnswerOfRequest, requests[0], "bytes before the request");
     }
     while (!connection.IsOpen() && !connection.Open()) {
       if (absl::Now() > end) return false;
       absl::SleepFor(kReconnectInterval);
     }
     const absl::Time sent_at = absl::Now();
-    const received_answer answer = connection.Send(absl::StrCat(
-        request.method, " ", request.path, " HTTP/1.1\r\nHost: soak\r\nAuthorization: Bearer ",
-        settings_.key, "\r\nIdempotency-Key: ", request.identity,
-        "\r\nContent-Length: ", request.body.size(), "\r\n\r\n", request.body));
-    ++request.attempts;
-    return Judge(request, answer,
-                 absl::StrCat("sent ", absl::FormatTime("%H:%M:%E3S", sent_at, absl::UTCTimeZone()),
-                              " to ", connection.Name(), ", ended after ",
-                              absl::FormatDuration(absl::Now() - sent_at)));
+    std::string messages;
+    for (const sent_request& request : requests) {
+      absl::StrAppend(&messages, request.method, " ", request.path,
+                      " HTTP/1.1\r\nHost: soak\r\nAuthorization: Bearer ", settings_.key,
+                      "\r\nIdempotency-Key: ", request.identity,
+                      "\r\nContent-Length: ", request.body.size(), "\r\n\r\n", request.body);
+    }
+    const std::vector<received_answer> answers = connection.Send(messages, requests.size());
+    bool first_answered = false;
+    for (size_t i = 0; i < requests.size(); ++i) {
+      ++requests[i].attempts;
+      const bool answered =
+          Judge(requests[i], answers[i],
+                absl::StrCat("sent ", absl::FormatTime("%H:%M:%E3S", sent_at, absl::UTCTimeZone()),
+                             " to ", connection.Name(), ", ended after ",
+                             absl::FormatDuration(absl::Now() - sent_at)));
+      if (i == 0) first_answered = answered;
+    }
+    return first_answered;
   }
 
   bool Judge(sent_request& request, const received_answer& answer, const std::string& when) {
