Log when a stopping server cannot tell what its clients have sent

Where the system does not give the number of bytes received on a connection, a stop answers only the requests behind another one that have not been read yet. Now a limited warning does.

--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -344,10 +344,12 @@
   return QueueResponse(connection, false, ProblemResponse(failure, ""));
 }
 
-bool http_server::impl::ClosesAfterResponse(MHD_Connection* connection) const {
+bool http_server::impl::ClosesAfterResponse(MHD_Connection* connection) {
   if (keep_alive_) return false;
   const server_connection* state = StateOf(connection);
-  return state == nullptr || !HasFurtherInput(*state);
+  if (state == nullptr) return true;
+  if (!ReceivedBytes(state->fd)) LogLimited("the number of bytes received is not available");
+  return !HasFurtherInput(*state);
 }
 
 MHD_Result http_server::impl::QueueResponse(MHD_Connection* connection, bool head,
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -86,7 +86,7 @@
   /// Lets each connection end once the requests that its client has sent by now are answered.
   void LimitFurtherRequests();
   /// Returns true if the response is the last one of its connection.
-  bool ClosesAfterResponse(MHD_Connection* connection) const;
+  bool ClosesAfterResponse(MHD_Connection* connection);
   MHD_Result QueueResponse(MHD_Connection* connection, bool head, http_response response);
   MHD_Result Refuse(MHD_Connection* connection, const error& failure);
   /// Adds a request to those that `Stop` has to answer. Returns false once the server is stopping.
