--- a/src/control/tests/journal_test.cc
+++ b/src/control/tests/journal_test.cc
@@ -1,8 +1,10 @@
 #include "control/journal.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -104,6 +106,25 @@
   for (size_t i = 0; i < 6; ++i) REQUIRE_FALSE(ErrorOf([&] { return kJournalSteps[i](journal); }));
 }
 
+/// Limits the size of the files that this process may write.
+class file_size_limit {
+ public:
+  explicit file_size_limit(uint64_t bytes) {
+    previous_handler_ = std::signal(SIGXFSZ, SIG_IGN);
+    getrlimit(RLIMIT_FSIZE, &previous_);
+    const rlimit limit = {bytes, previous_.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~file_size_limit() {
+    setrlimit(RLIMIT_FSIZE, &previous_);
+    std::signal(SIGXFSZ, previous_handler_);
+  }
+
+ private:
+  void (*previous_handler_)(int) = nullptr;
+  rlimit previous_ = {};
+};
+
 }  // namespace
 
 // Guards against a crash that leaves a state other than the one before or the one after the
@@ -251,6 +272,28 @@
   CHECK(files.SyncCount() == before + 1);
 }
 
+// Guards against differences between a write that the operating system refuses or carries out in
+// part and the faults of the file system in memory.
+TEST_CASE("steps that the real file system refuses succeed when they are repeated") {
+  const std::filesystem::path directory =
+      std::filesystem::temp_directory_path() / absl::StrCat("control-journal-limit-", getpid());
+  posix_file_system files;
+  {
+    file_journal journal(files, directory);
+    REQUIRE_FALSE(ErrorOf([&] { return journal.Load(); }));
+    for (const journal_step& next : kJournalSteps) {
+      for (const uint64_t bytes : {0, 10, 150, 300}) {
+        const file_size_limit limit(bytes);
+        const absl::optional<error_kind> failure = ErrorOf([&] { return next(journal); });
+        if (failure || bytes <= 10) CHECK(failure == error_kind::kStorageFailed);
+      }
+      REQUIRE_FALSE(ErrorOf([&] { return next(journal); }));
+    }
+  }
+  CHECK(LoadAndDescribe(files, directory) == kExpectedStates.back());
+  std::filesystem::remove_all(directory);
+}
+
 // Guards against two processes that use the same member id, and against differences between the
 // file system of the operating system and the one in memory.
 TEST_CASE("the journal works on the real file system and locks its directory") {
