--- a/src/control/internal/journal.cc
+++ b/src/control/internal/journal.cc
@@ -80,7 +80,15 @@
   replay_state replayed;
   for (size_t i = 0; i < segments_.size(); ++i) {
     if (segments_[i] != segments_.front() + i) return CorruptError("A segment is missing.");
-    BOOST_LEAF_CHECK(ReplaySegment(segments_[i], i + 1 == segments_.size(), replayed));
+    const bool last = i + 1 == segments_.size();
+    const size_t frames = replayed.frames;
+    const size_t bytes = durable_bytes_;
+    BOOST_LEAF_CHECK(ReplaySegment(segments_[i], last, replayed));
+    if (last && i > 0 && replayed.frames == frames) {
+      // An interrupted checkpoint has not written the base frame.
+      segments_.pop_back();
+      durable_bytes_ = bytes;
+    }
   }
   if (replayed.frames == 0) {
     // The member has never acknowledged anything, unless files were lost.
@@ -192,9 +200,9 @@
 result<void> file_journal::Repair() {
   segment_.reset();
   BOOST_LEAF_CHECK(RemoveTemporaryFiles());
-  // A failed call may have created the next segment.
+  // A checkpoint that failed or was interrupted may have created the next segment.
   BOOST_LEAF_CHECK(files_.Remove(SegmentPath(segments_.back() + 1)));
-  BOOST_LEAF_CHECK(OpenSegment(segments_.back()));
+  BOOST_LEAF_CHECK(OpenLastSegment());
   return files_.Truncate(SegmentPath(segments_.back()), durable_bytes_);
 }
 
@@ -216,8 +224,20 @@
 }
 
 result<void> file_journal::WriteBase(const journal_frame& frame) {
-  if (durable_bytes_ > 0) BOOST_LEAF_CHECK(OpenSegment(segments_.back() + 1));
-  BOOST_LEAF_CHECK(WriteFrame(frame));
+  if (durable_bytes_ == 0) {
+    BOOST_LEAF_CHECK(WriteFrame(frame));
+  } else {
+    // Used only once its base frame is durable, since it must be readable without the segments
+    // before it.
+    const uint64_t number = segments_.back() + 1;
+    const std::string bytes = WrapFrame(EncodeFrame(frame));
+    BOOST_LEAF_AUTO(segment, files_.OpenAppend(SegmentPath(number)));
+    BOOST_LEAF_CHECK(files_.SyncDirectory(directory_));
+    BOOST_LEAF_CHECK(WriteAndSync(*segment, bytes));
+    segment_ = std::move(segment);
+    segments_.push_back(number);
+    durable_bytes_ = bytes.size();
+  }
   RemoveOlderFilesIfPossible(segments_.back(), frame.base_index);
   return {};
 }
@@ -236,12 +256,8 @@
   return files_.SyncDirectory(directory_);
 }
 
-result<void> file_journal::OpenSegment(uint64_t number) {
-  BOOST_LEAF_ASSIGN(segment_, files_.OpenAppend(SegmentPath(number)));
-  if (segments_.empty() || segments_.back() != number) {
-    segments_.push_back(number);
-    durable_bytes_ = 0;
-  }
+result<void> file_journal::OpenLastSegment() {
+  BOOST_LEAF_ASSIGN(segment_, files_.OpenAppend(SegmentPath(segments_.back())));
   return files_.SyncDirectory(directory_);
 }
 
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -93,7 +93,7 @@
   // Starts a segment with a base frame and removes the files before it.
   result<void> WriteBase(const journal_frame& frame);
   result<void> WriteAndSync(append_file& file, absl::string_view bytes);
-  result<void> OpenSegment(uint64_t number);
+  result<void> OpenLastSegment();
   // Removes what a failed operation or a restart has left behind, and makes the rest durable.
   result<void> Repair();
   result<void> RemoveTemporaryFiles();
--- a/src/control/tests/journal_test.cc
+++ b/src/control/tests/journal_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "control/tests/mocks/memory_file_system.h"
 
@@ -155,6 +156,38 @@
   }
 }
 
+// Guards against a log with a gap, when the member goes on after a crash within a checkpoint.
+TEST_CASE("a journal goes on after a crash at any disk operation") {
+  for (uint64_t operations = 0; operations < 140; ++operations) {
+    for (int variant = 0; variant < 30; ++variant) {
+      memory_file_system files(operations * 100 + static_cast<uint64_t>(variant));
+      size_t done = 0;
+      {
+        file_journal journal(files, "data");
+        REQUIRE_FALSE(ErrorOf([&] { return journal.Load(); }));
+        files.FailAfter(operations, FaultOf(variant));
+        while (done < kJournalSteps.size() &&
+               !ErrorOf([&] { return kJournalSteps[done](journal); }))
+          ++done;
+      }
+      files.Crash();
+      // The snapshot of the interrupted checkpoint may be durable.
+      const bool installed = absl::StrContains(LoadAndDescribe(files), "state at 9");
+      INFO("operations " << operations << ", variant " << variant << ", steps " << done);
+      {
+        file_journal journal(files, "data");
+        REQUIRE_FALSE(ErrorOf([&] { return journal.Load(); }));
+        const hard_state state = MakeState(3);
+        if (installed) REQUIRE_FALSE(ErrorOf([&] { return journal.Append(&state, {}); }));
+        for (size_t i = installed ? 7 : done; i < kJournalSteps.size(); ++i) {
+          REQUIRE_FALSE(ErrorOf([&] { return kJournalSteps[i](journal); }));
+        }
+      }
+      CHECK(LoadAndDescribe(*files.DurableCopy()) == kExpectedStates.back());
+    }
+  }
+}
+
 // Guards against a refused write that can't be repeated, against a repeated one that loses or
 // doubles data, and against a sync that is trusted after an earlier one has lost the data.
 TEST_CASE("a step that the disk refuses for a while succeeds when it is repeated") {
@@ -239,6 +272,48 @@
   }
 }
 
+// Guards against a segment without a base frame, whose log has a gap when a later checkpoint has
+// removed the segments before it.
+TEST_CASE("a checkpoint after an interrupted one leaves a log that loads") {
+  for (uint64_t first = 0; first < 20; ++first) {
+    for (uint64_t second = 0; second < 24; ++second) {
+      for (int variant = 0; variant < 30; ++variant) {
+        // A refused checkpoint, or the end of the process or of the host within it.
+        const int interruption = variant % 3;
+        INFO("first " << first << ", second " << second << ", variant " << variant);
+        memory_file_system files(first * 10000 + second * 100 + static_cast<uint64_t>(variant));
+        auto journal = std::make_unique<file_journal>(files, "data");
+        const auto restart = [&](bool power_loss) {
+          journal.reset();
+          files.ClearFaults();
+          if (power_loss || files.HasLostData()) files.Crash();
+          journal = std::make_unique<file_journal>(files, "data");
+          return ErrorOf([&] { return journal->Load(); });
+        };
+        REQUIRE_FALSE(ErrorOf([&] { return journal->Load(); }));
+        for (size_t i = 0; i < 4; ++i) {
+          REQUIRE_FALSE(ErrorOf([&] { return kJournalSteps[i](*journal); }));
+        }
+        files.FailAfter(first, FaultOf(variant / 3));
+        ErrorOf([&] { return kJournalSteps[4](*journal); });
+        files.ClearFaults();
+        if (interruption > 0) REQUIRE_FALSE(restart(interruption == 2));
+        REQUIRE_FALSE(ErrorOf([&] { return kJournalSteps[5](*journal); }));
+        files.FailAfter(second, FaultOf(variant / 6));
+        ErrorOf([&] {
+          return journal->Checkpoint(MakeSnapshot(3, 2), MakeState(2), {MakeRecord(4, 2)});
+        });
+        REQUIRE_FALSE(restart(variant % 2 == 0));
+        const std::string loaded = LoadAndDescribe(*files.DurableCopy());
+        CHECK((loaded == "term 2, state at 3, 4/2" || loaded == kExpectedStates[6] ||
+               loaded == "term 2, state at 1, 2/1, 3/2, 4/2"));
+        REQUIRE_FALSE(ErrorOf([&] { return kJournalSteps[6](*journal); }));
+        CHECK(LoadAndDescribe(*files.DurableCopy()) == "term 3, state at 9");
+      }
+    }
+  }
+}
+
 // Guards against damage that is mistaken for an incomplete write, which would lose an acknowledged
 // record or a vote.
 TEST_CASE("every flipped bit is detected") {
