--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -54,9 +54,10 @@
   void DisableKeepAlive();
 
   /// Stops gracefully: accepts no new connections, answers every request that is running or arrives
-  /// on an open connection, and then closes the connection. A request that has not been received
-  /// completely one second after the linger is not waited for, and neither takes over half of
-  /// `timeout`; it never reaches the handler. Blocks for at most about `timeout`. Returns true if
+  /// on an open connection, and then closes the connection. The linger takes at most half of
+  /// `timeout`. The rest of a request that has been received in part is waited for until one second
+  /// after the linger, within the same half; without it, the request never reaches the handler.
+  /// Blocks for at most about `timeout`. Returns true if
   /// no received request was left, false if requests were still running after `timeout`. The server
   /// is stopped in both cases.
   bool Drain(absl::Duration timeout);
