--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -60,9 +60,8 @@
 /// succeed although the kernel may have dropped the data.
 ///
 /// At load, an incomplete frame at the end of the last segment is ignored until the first write
-/// removes it, since it was never
-/// acknowledged. A complete frame with a wrong checksum is damage, also at the end, because it may
-/// have been acknowledged.
+/// removes it, since it was never acknowledged. A complete frame with a wrong checksum is damage,
+/// also at the end, because it may have been acknowledged.
 class file_journal : public raft_storage {
  public:
   /// `files` must outlive the journal.
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -57,9 +57,8 @@
   /// on an open connection, and then closes the connection. The linger takes at most half of
   /// `timeout`. The rest of a request that has been received in part is waited for until one second
   /// after the linger, within the same half; without it, the request never reaches the handler.
-  /// Blocks for at most about `timeout`. Returns true if
-  /// no received request was left, false if requests were still running after `timeout`. The server
-  /// is stopped in both cases.
+  /// Blocks for at most about `timeout`. Returns true if no received request was left, false if
+  /// requests were still running after `timeout`. The server is stopped in both cases.
   bool Drain(absl::Duration timeout);
 
   /// Stops at once. Requests that the handler has not answered are answered with kOutcomeUnknown;
--- a/src/membership/report_order.h
+++ b/src/membership/report_order.h
@@ -43,11 +43,11 @@
   absl::Duration lease_;
   report_position latest_;
   absl::Time accepted_at_ = absl::InfinitePast();
-  /// The late reports of one process that arrived with gaps of at most one lease.
+  // The late reports of one process that arrived with gaps of at most one lease.
   report_position late_;
   absl::Time late_since_ = absl::InfinitePast();
   absl::Time late_until_ = absl::InfinitePast();
-  /// Wrong position that was given up. Reports at this position are refused.
+  // Wrong position that was given up. Reports at this position are refused.
   report_position given_up_;
 };
 
--- a/src/rpc/internal/convert.h
+++ b/src/rpc/internal/convert.h
@@ -17,8 +17,7 @@
 
 // Encode writes a native value to a message, Decode reads one. Enum numbers that this version does
 // not know are decoded as the most conservative known value. Decode throws kj::Exception when the
-// message is
-// invalid. Daemons of a directory and targets that cannot be used are left out.
+// message is invalid. Daemons of a directory and targets that cannot be used are left out.
 
 void Encode(const call& value, wire::Call::Builder out);
 void Encode(const call_answer& value, wire::Answer::Builder out);
