--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -337,6 +337,7 @@
   const absl::Time accept_until = drain_started_at_ + settings_.drain_delay;
   const absl::Time deadline = accept_until + settings_.drain_timeout;
   sync_->BeginDrain();
+  entry_->BeginDrain(accept_until, deadline - kChildCallMargin);
   entry_server_->DisableKeepAlive();
   // Callers and other daemons learn of the shutdown within the delay. Until then, they still send
   // calls here.
--- a/src/gateway/call_graph.h
+++ b/src/gateway/call_graph.h
@@ -11,11 +11,12 @@
 #include "overload/call_ratio_estimator.h"
 #include "overload/entry_admission.h"
 #include "overload/route_cost_table.h"
+#include "overload/route_durations.h"
 
 namespace teaseljunction {
 
-/// Call ratios, route costs and service loads learned from the calls that pass through this daemon.
-/// Thread-safe.
+/// Call ratios, route costs, durations and service loads learned from the calls that pass through
+/// this daemon. Thread-safe.
 class call_graph {
  public:
   /// Counts one execution of a route started at the local target.
@@ -36,11 +37,17 @@
   /// the request can be admitted.
   std::string FindOverloadedService(const call& request, absl::Time now);
 
+  /// See `route_durations`. The calls are those that enter the system at this daemon.
+  void RecordEntryStart(absl::string_view route, absl::Time started_at);
+  void RecordEntryEnd(absl::string_view route, absl::Time started_at, bool counts, absl::Time now);
+  absl::Duration ExpectedDuration(absl::string_view route, absl::Time now) const;
+
  private:
   mutable absl::Mutex mutex_;
   call_ratio_estimator ratios_ ABSL_GUARDED_BY(mutex_);
   route_cost_table costs_ ABSL_GUARDED_BY(mutex_);
   entry_admission admission_ ABSL_GUARDED_BY(mutex_);
+  route_durations durations_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -84,6 +84,9 @@
   std::atomic<uint32_t> attempt_count_ = 0;
   uint32_t crash_count_ = 0;
   bool claim_held_ = false;
+  // True once an attempt has ended with an answer of its target, or without a statement that the
+  // target has not run it.
+  bool reached_target_ = false;
   // True once an attempt has ended in a way that does not rule out that the target ran the request.
   bool may_have_run_ = false;
   // Outcome of the last attempt, reported when no further attempt is possible: its error, or the
--- a/src/gateway/entry_request_handler.h
+++ b/src/gateway/entry_request_handler.h
@@ -27,10 +27,15 @@
 
   void Handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
+  /// Refuses requests of callers with kDraining that are not expected to end by `stop_end`, as far
+  /// as their own deadline does not end them before. Refused callers are asked to come back at
+  /// `callers_leave_at`, when they have learned of the stop.
+  void BeginDrain(absl::Time callers_leave_at, absl::Time stop_end);
+
   /// Refuses all further requests of callers with kDraining. Child calls of the local target are
   /// still accepted, because calls that are running depend on them; they end by
   /// `child_call_deadline`. Without a context token, a call that may run only once is accepted only
-  /// if its own deadline is not later.
+  /// if its own deadline is not later, and a repeatable one only if it is expected to end by then.
   void StopAcceptingCallers(absl::Time child_call_deadline);
 
   /// Refuses all further requests with kDraining. Meant for the time when no call runs at the local
@@ -38,12 +43,22 @@
   void StopAccepting();
 
  private:
-  // Refuses the call, or limits its deadline, once callers are no longer accepted.
+  // State of a planned stop.
+  struct drain_state {
+    absl::Time callers_leave_at;
+    absl::Time stop_end;
+    // Set once callers are no longer accepted.
+    absl::optional<absl::Time> child_call_deadline;
+  };
+
+  // Refuses the call, or limits its deadline, if the stop leaves too little time for it.
   result<void> ApplyDrain(resolved_call& resolved, absl::Time now);
   void HandleCall(const http_request& request, std::shared_ptr<http_exchange> exchange);
   std::string RequestIdFor(const http_request& request);
   uint64_t ManifestVersion() const;
   result<resolved_call> Resolve(const http_request& request, const std::string& request_id);
+  // Time after which a caller refused because of the stop is asked to come back.
+  absl::Duration DrainingRetryAfter(absl::Time now);
 
   const entry_call_dependencies& deps_;
   const active_manifest& config_;
@@ -51,7 +66,7 @@
   target_announcement_handler& target_;
   const std::string host_ip_;
   absl::Mutex mutex_;
-  absl::optional<absl::Time> child_call_deadline_ ABSL_GUARDED_BY(mutex_);
+  absl::optional<drain_state> drain_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/internal/call_graph.cc
+++ b/src/gateway/internal/call_graph.cc
@@ -31,4 +31,20 @@
                                                       request.priority, request.cohort, now));
 }
 
+void call_graph::RecordEntryStart(absl::string_view route, absl::Time started_at) {
+  absl::MutexLock lock(&mutex_);
+  durations_.RecordStart(route, started_at);
+}
+
+void call_graph::RecordEntryEnd(absl::string_view route, absl::Time started_at, bool counts,
+                                absl::Time now) {
+  absl::MutexLock lock(&mutex_);
+  durations_.RecordEnd(route, started_at, counts, now);
+}
+
+absl::Duration call_graph::ExpectedDuration(absl::string_view route, absl::Time now) const {
+  absl::MutexLock lock(&mutex_);
+  return durations_.Expected(route, now);
+}
+
 }  // namespace teaseljunction
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -58,6 +58,7 @@
       budget_(resolved_.request.attempt_budget) {}
 
 void entry_call::Start() {
+  deps_.graph.RecordEntryStart(resolved_.request.route, started_at_);
   const auto on_disconnect = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->OnCallerDisconnect();
   };
@@ -191,6 +192,8 @@
 void entry_call::OnAttemptFinished(const std::string& daemon_id, absl::Time sent_at,
                                    execute_result executed) {
   RecordAttemptOutcome(daemon_id, sent_at, executed);
+  const auto* ended = std::get_if<error>(&executed.answer);
+  reached_target_ |= ended == nullptr || AnswerFor(ended->kind).run == run_state::kMayHaveRun;
   if (auto* answer = std::get_if<call_answer>(&executed.answer)) {
     if (!executed.target_failed || claim_held_) return Respond(std::move(*answer));
     failed_response_ = std::move(*answer);
@@ -286,6 +289,8 @@
 }
 
 void entry_call::Finish(http_response response) {
+  deps_.graph.RecordEntryEnd(resolved_.request.route, started_at_, reached_target_,
+                             deps_.clock.Now());
   if (claim_held_) deps_.pending.End();
   if (resolved_.parent != nullptr) {
     resolved_.parent->ReturnUnusedAttempts(resolved_.parent_allocation_id, budget_.Remaining());
--- a/src/gateway/internal/entry_request_handler.cc
+++ b/src/gateway/internal/entry_request_handler.cc
@@ -58,27 +58,46 @@
   return resolved;
 }
 
+void entry_request_handler::BeginDrain(absl::Time callers_leave_at, absl::Time stop_end) {
+  absl::MutexLock lock(&mutex_);
+  drain_ = drain_state{callers_leave_at, stop_end, absl::nullopt};
+}
+
 void entry_request_handler::StopAcceptingCallers(absl::Time child_call_deadline) {
   absl::MutexLock lock(&mutex_);
-  child_call_deadline_ = child_call_deadline;
+  if (!drain_) drain_ = drain_state{deps_.clock.Now(), child_call_deadline, absl::nullopt};
+  drain_->child_call_deadline = child_call_deadline;
 }
 
 void entry_request_handler::StopAccepting() { StopAcceptingCallers(absl::InfinitePast()); }
 
 result<void> entry_request_handler::ApplyDrain(resolved_call& resolved, absl::Time now) {
   absl::MutexLock lock(&mutex_);
-  if (!child_call_deadline_) return {};
-  if (resolved.request.depth == 0) return Fail(error_kind::kDraining);
-  // Without a parent this can be a request of a caller, which another daemon can still run.
-  const bool may_be_cut = resolved.deadline > *child_call_deadline_;
-  if (may_be_cut && resolved.parent == nullptr && !resolved.request.idempotent) {
-    return Fail(error_kind::kDraining);
+  if (!drain_) return {};
+  const call& request = resolved.request;
+  const auto outlasts = [&](absl::Time end) {
+    return resolved.deadline > end && now + deps_.graph.ExpectedDuration(request.route, now) > end;
+  };
+  if (!drain_->child_call_deadline) {
+    if (request.depth == 0 && outlasts(drain_->stop_end)) return Fail(error_kind::kDraining);
+    return {};
   }
-  resolved.deadline = std::min(resolved.deadline, *child_call_deadline_);
+  const absl::Time deadline = *drain_->child_call_deadline;
+  if (request.depth == 0) return Fail(error_kind::kDraining);
+  // Without a parent this can be a request of a caller, which another daemon can still run.
+  const bool may_be_cut = request.idempotent ? outlasts(deadline) : resolved.deadline > deadline;
+  if (may_be_cut && resolved.parent == nullptr) return Fail(error_kind::kDraining);
+  resolved.deadline = std::min(resolved.deadline, deadline);
   if (resolved.deadline <= now) return Fail(error_kind::kDraining);
   return {};
 }
 
+absl::Duration entry_request_handler::DrainingRetryAfter(absl::Time now) {
+  absl::MutexLock lock(&mutex_);
+  if (!drain_) return kDrainingRetryAfter;
+  return std::max(kDrainingRetryAfter, drain_->callers_leave_at - now);
+}
+
 std::string entry_request_handler::RequestIdFor(const http_request& request) {
   const call_header_names& headers = deps_.settings.headers;
   if (headers.caller_request_id) {
@@ -106,7 +125,7 @@
     deps_.metrics.RecordError(failure->kind);
     absl::optional<absl::Duration> retry_after;
     if (failure->kind == error_kind::kDraining) {
-      retry_after = RetryAfterDelay(kDrainingRetryAfter, deps_.random);
+      retry_after = RetryAfterDelay(DrainingRetryAfter(deps_.clock.Now()), deps_.random);
     }
     http_response response = ProblemResponse(*failure, request_id, retry_after,
                                              deps_.settings.headers.fractional_retry_after);
--- a/src/gateway/tests/entry_request_handler_test.cc
+++ b/src/gateway/tests/entry_request_handler_test.cc
@@ -39,6 +39,16 @@
     context = contexts.Add(std::make_shared<running_call>(parent, time.Now() + absl::Hours(1)));
   }
 
+  // Makes all routes open ones for child calls.
+  void MarkRoutesInternal() {
+    manifest changed = SampleManifest(2)->Manifest();
+    for (route& listed : changed.routes) {
+      listed.open = true;
+      listed.internal = true;
+    }
+    config.Install(std::make_shared<const manifest_index>(std::move(changed)));
+  }
+
   std::shared_ptr<recorded_exchange> Send(std::string path, std::vector<http_header> headers) {
     auto exchange = std::make_shared<recorded_exchange>();
     handler.Handle({"GET", std::move(path), std::move(headers), ""}, exchange);
@@ -93,4 +103,53 @@
   CHECK(fixture.peers.attempts.empty());
 }
 
+// Guards against requests that are accepted early in a stop and given up at its end, because their
+// targets have become slow.
+TEST_CASE("a stopping daemon refuses requests that are not expected to end before the stop") {
+  handler_fixture fixture;
+  const auto running = fixture.Send("/status", {});
+  REQUIRE(running->responses == 0);
+  fixture.time.AdvanceBy(absl::Seconds(2));
+  const absl::Time now = fixture.time.Now();
+  fixture.handler.BeginDrain(now + absl::Seconds(2), now + absl::Milliseconds(4500));
+  const auto accepted = fixture.Send("/status", {});
+  CHECK(accepted->responses == 0);
+  fixture.time.AdvanceBy(absl::Seconds(1));
+  const auto refused = fixture.Send("/status", {});
+  CHECK(IsDrainingRefusal(*refused));
+  CHECK(fixture.Send("/status", {{"Teaseljunction-Deadline-Ms", "3000"}})->responses == 0);
+  CHECK(fixture.peers.attempts.size() == 3);
+}
+
+// Guards against callers that come back to a stopping daemon before they have learned of its stop.
+TEST_CASE("a request refused early in a stop may come back when its caller has learned of it") {
+  handler_fixture fixture;
+  fixture.settings.headers.fractional_retry_after = true;
+  fixture.Send("/status", {});
+  fixture.time.AdvanceBy(absl::Seconds(3));
+  fixture.handler.BeginDrain(fixture.time.Now() + absl::Seconds(2),
+                             fixture.time.Now() + absl::Seconds(4));
+  const auto refused = fixture.Send("/status", {});
+  REQUIRE(IsDrainingRefusal(*refused));
+  const double retry_after_s =
+      std::stod(std::string(FindHeader(refused->last.headers, "Retry-After").value_or("0")));
+  CHECK(retry_after_s >= 1);
+  CHECK(retry_after_s <= 4);
+}
+
+// Guards against a repeatable call to a route for child calls that is accepted late in a stop and
+// answered with an error at its end, because its target ignores the deadline.
+TEST_CASE("an unmarked child call that is not expected to end before the stop is refused") {
+  handler_fixture fixture;
+  fixture.MarkRoutesInternal();
+  fixture.Send("/stock/1", {});
+  REQUIRE(fixture.peers.attempts.size() == 1);
+  fixture.time.AdvanceBy(absl::Milliseconds(400));
+  fixture.handler.StopAcceptingCallers(fixture.time.Now() + absl::Milliseconds(500));
+  CHECK(IsDrainingRefusal(*fixture.Send("/stock/1", {})));
+  CHECK(fixture.peers.attempts.size() == 1);
+  // The parent is running here, and another daemon could not serve it.
+  CHECK(fixture.SendChild()->responses == 0);
+}
+
 }  // namespace teaseljunction
