Send manifests compressed to daemons that accept it

Ruled out: the directory, which is sent as differences already. Change: the leader compresses each manifest once (zlib) and sends the result to daemons that say that they read it; others get the text as before, so old and new builds can run beside each other. A manifest that cannot be decompressed is not put in force and not confirmed.

--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/compression.h"
 #include "common/log.h"
 #include "daemon/account_rates.h"
 #include "membership/announcement_check.h"
@@ -68,6 +69,7 @@
   if (manifest->version != request.manifest_version ||
       manifest->digest != request.manifest_digest) {
     response.manifest = *manifest;
+    if (request.accepts_compressed) response.compressed_manifest = CompressedContent(*manifest);
   }
   response.directory = UpdateDirectory(request, now, response.newer_incarnation);
   response.grants = Grant(request, now);
@@ -78,6 +80,16 @@
   return response;
 }
 
+std::shared_ptr<const std::string> leader_service::CompressedContent(
+    const manifest_record& manifest) {
+  absl::MutexLock lock(&compression_mutex_);
+  if (compressed_content_ == nullptr || compressed_digest_ != manifest.digest) {
+    compressed_content_ = std::make_shared<const std::string>(Compress(manifest.content));
+    compressed_digest_ = manifest.digest;
+  }
+  return compressed_content_;
+}
+
 directory_update leader_service::UpdateDirectory(const sync_request& request, absl::Time now,
                                                  uint64_t& newer_incarnation) {
   absl::MutexLock lock(&directory_mutex_);
--- a/src/daemon/internal/sync_loop.cc
+++ b/src/daemon/internal/sync_loop.cc
@@ -115,6 +115,7 @@
     request.manifest_version = manifest->Manifest().version;
     request.manifest_digest = manifest->Digest();
   }
+  request.accepts_compressed = true;
   request.quarantine_size = deps_.quarantine.Size();
   request.demands = deps_.accounts.CollectDemands();
   std::vector<crash_report> reports = deps_.executor.TakeCrashReports();
--- a/src/daemon/leader_service.h
+++ b/src/daemon/leader_service.h
@@ -47,6 +47,8 @@
   // Records the control member of a daemon and proposes the next change of the group, if one is
   // due. Returns the addresses of all control members.
   std::vector<std::string> PlanMembers(const daemon_announcement& daemon, absl::Time now);
+  // Returns the compressed content of a manifest. Compresses each manifest once.
+  std::shared_ptr<const std::string> CompressedContent(const manifest_record& manifest);
   void UpdateAccounts(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(tokens_mutex_);
 
   const clock_source& clock_;
@@ -68,6 +70,10 @@
   absl::Mutex planner_mutex_ ABSL_ACQUIRED_AFTER(term_mutex_);
   membership_planner planner_ ABSL_GUARDED_BY(planner_mutex_);
 
+  absl::Mutex compression_mutex_;
+  std::string compressed_digest_ ABSL_GUARDED_BY(compression_mutex_);
+  std::shared_ptr<const std::string> compressed_content_ ABSL_GUARDED_BY(compression_mutex_);
+
   absl::Mutex crash_mutex_ ABSL_ACQUIRED_AFTER(term_mutex_);
   crash_tracker crashes_ ABSL_GUARDED_BY(crash_mutex_);
 };
--- a/src/rpc/internal/convert_sync.cc
+++ b/src/rpc/internal/convert_sync.cc
@@ -1,11 +1,16 @@
 #include <utility>
 
+#include "common/compression.h"
+#include "common/log.h"
 #include "membership/announcement_check.h"
 #include "rpc/internal/convert.h"
 
 namespace teaseljunction {
 namespace {
 
+/// Largest content of a compressed manifest. RPC messages have the same limit.
+constexpr size_t kMaxManifestContentBytes = size_t{16} << 20;
+
 void Encode(const target_announcement& value, wire::Target::Builder out) {
   out.setService(ToText(value.service));
   out.setIncarnation(value.incarnation);
@@ -87,6 +92,30 @@
   }
 }
 
+void EncodeManifest(const sync_response& value, wire::Manifest::Builder out) {
+  if (value.compressed_manifest == nullptr) return teaseljunction::Encode(value.manifest, out);
+  out.setVersion(value.manifest.version);
+  out.setDigest(ToText(value.manifest.digest));
+  const std::string& content = *value.compressed_manifest;
+  out.setCompressedContent(
+      kj::arrayPtr(reinterpret_cast<const kj::byte*>(content.data()), content.size()));
+}
+
+manifest_record DecodeManifest(wire::Manifest::Reader in) {
+  manifest_record value = teaseljunction::Decode(in);
+  if (!in.hasCompressedContent()) return value;
+  const auto bytes = in.getCompressedContent().asChars();
+  auto content = Capture<std::string>([&] {
+    return Decompress({bytes.begin(), bytes.size()}, kMaxManifestContentBytes);
+  });
+  if (const auto* failure = std::get_if<error>(&content)) {
+    LOG(ERROR) << "sync: manifest version " << value.version << " is unusable: " << failure->detail;
+    return value;
+  }
+  value.content = std::get<std::string>(std::move(content));
+  return value;
+}
+
 }  // namespace
 
 void Encode(const daemon_announcement& value, wire::Daemon::Builder out) {
@@ -125,6 +154,7 @@
   out.setQuarantineSize(value.quarantine_size);
   EncodeDemands(value.demands, out.initDemands(value.demands.size()));
   EncodeCrashes(value.crashes, out.initCrashes(value.crashes.size()));
+  out.setAcceptsCompressed(value.accepts_compressed);
 }
 
 sync_request Decode(wire::SyncRequest::Reader in) {
@@ -143,13 +173,14 @@
     value.crashes.push_back({FromText(crash.getFingerprint()), FromText(crash.getTarget()),
                              crash.getCompleted(), DurationFromWire(crash.getAge())});
   }
+  value.accepts_compressed = in.getAcceptsCompressed();
   return value;
 }
 
 void Encode(const sync_response& value, wire::SyncResponse::Builder out) {
   out.setFromLeader(value.from_leader);
   out.setLeaderAddress(ToText(value.leader_address));
-  Encode(value.manifest, out.initManifest());
+  EncodeManifest(value, out.initManifest());
   EncodeDirectory(value.directory, out.initDirectory());
   EncodeGrants(value.grants, out.initGrants(value.grants.size()));
   auto quarantined = out.initQuarantined(value.quarantined_fingerprints.size());
@@ -170,7 +201,7 @@
   sync_response value;
   value.from_leader = in.getFromLeader();
   value.leader_address = FromText(in.getLeaderAddress());
-  value.manifest = Decode(in.getManifest());
+  value.manifest = DecodeManifest(in.getManifest());
   value.directory = DecodeDirectory(in.getDirectory());
   for (const auto grant : in.getGrants()) {
     value.grants.push_back({FromText(grant.getClientAccount()), grant.getTokens(),
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -115,6 +115,8 @@
   quarantineSize @5 :UInt64;
   demands @6 :List(TokenDemand);
   crashes @7 :List(CrashReport);
+  # True if the daemon reads compressed manifests.
+  acceptsCompressed @8 :Bool;
 }
 
 struct Manifest {
@@ -124,6 +126,8 @@
   # Set when a submission gives the version that it replaces, in `base`.
   hasBase @3 :Bool;
   base @4 :UInt64;
+  # The content in the zlib format, in place of `content`, for daemons that accept it.
+  compressedContent @5 :Data;
 }
 
 struct DirectoryEntry {
--- a/src/rpc/tests/convert_test.cc
+++ b/src/rpc/tests/convert_test.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <functional>
 
+#include "common/compression.h"
+
 namespace teaseljunction {
 namespace {
 
@@ -137,6 +139,28 @@
   CHECK(decoded.level.priority == request_priority::kLow);
 }
 
+// Guards against a manifest that is confirmed although its content has not arrived.
+TEST_CASE("a compressed manifest arrives with its content, a damaged one without") {
+  sync_request request;
+  request.accepts_compressed = true;
+  CHECK(RoundTrip<wire::SyncRequest>(request).accepts_compressed);
+  CHECK_FALSE(RoundTrip<wire::SyncRequest>(sync_request()).accepts_compressed);
+  const std::string content(100000, 'x');
+  sync_response response;
+  response.manifest = {7, "digest", content};
+  CHECK(RoundTrip<wire::SyncResponse>(response).manifest.content == content);
+  response.compressed_manifest = std::make_shared<const std::string>(Compress(content));
+  response.manifest.content = "not sent";
+  manifest_record received = RoundTrip<wire::SyncResponse>(response).manifest;
+  CHECK(received.version == 7);
+  CHECK(received.digest == "digest");
+  CHECK(received.content == content);
+  response.compressed_manifest = std::make_shared<const std::string>("damaged");
+  received = RoundTrip<wire::SyncResponse>(response).manifest;
+  CHECK(received.version == 7);
+  CHECK(received.content.empty());
+}
+
 // Guards against an entry of the directory that cannot be used and ends or blocks its readers.
 TEST_CASE("entries that cannot be used are left out of a directory and the others are kept") {
   struct row {
--- a/src/rpc/types.h
+++ b/src/rpc/types.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
   uint64_t quarantine_size = 0;
   std::vector<token_demand> demands;
   std::vector<crash_report> crashes;
+  /// True if the daemon reads compressed manifests.
+  bool accepts_compressed = false;
 };
 
 /// Response of the leader to `sync`.
@@ -55,6 +58,9 @@
   std::string leader_address;
   /// The current manifest when the daemon has an outdated one, otherwise version 0.
   manifest_record manifest;
+  /// If set, it is sent in place of the content of `manifest`, in the format of `Compress`. A
+  /// received response has the content itself, or none if it cannot be decompressed.
+  std::shared_ptr<const std::string> compressed_manifest;
   directory_update directory;
   std::vector<token_grant> grants;
   /// Quarantined fingerprints beyond the first `quarantine_size` given in the request.
