--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -176,13 +176,16 @@
 void http_server::impl::AnswerPendingRequests() {
   state_->stopping = true;
   state_->keep_alive = false;
-  int abandoned = 0;
+  abandoned_requests abandoned;
   RunOnAllLoops([&](server_loop& loop) {
-    loop.ForEach([&](server_connection& connection) { abandoned += connection.AnswerPending(); });
+    loop.ForEach([&](server_connection& connection) { connection.AnswerPending(abandoned); });
   });
-  if (abandoned == 0) return;
-  LOG(WARNING) << "http: " << state_->settings.address << " stops with " << abandoned
-               << " requests without a response.";
+  if (abandoned.count == 0) return;
+  const absl::Time now = system_clock_source().Now();
+  LOG(WARNING) << "http: " << state_->settings.address << " stops with " << abandoned.count
+               << " requests without a response, accepted between "
+               << absl::ToInt64Milliseconds(now - abandoned.first_received_at) << " ms and "
+               << absl::ToInt64Milliseconds(now - abandoned.last_received_at) << " ms ago.";
 }
 
 void http_server::impl::Stop() {
--- a/src/http/internal/request_row.h
+++ b/src/http/internal/request_row.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 
+#include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "http/internal/request_reader.h"
 #include "http/types.h"
@@ -41,6 +42,7 @@
 struct row_entry {
   uint64_t number = 0;
   received_request request;
+  absl::Time received_at;
   /// False for requests that are handled alone: after all earlier ones have been answered, and
   /// before all later ones.
   bool may_overlap = false;
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -7,6 +7,7 @@
 #include <sys/uio.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -152,7 +153,9 @@
   message.received_at = last_activity_;
   if (!request.keep_alive) input_ended_ = true;
   const bool may_overlap = server_->handler.MayOverlap(message);
-  const uint64_t number = row_.Add(std::move(request), may_overlap).number;
+  row_entry& added = row_.Add(std::move(request), may_overlap);
+  added.received_at = last_activity_;
+  const uint64_t number = added.number;
   if (!server_->stopping) return;
   server_->LogLimited("request refused: draining");
   row_.SetAnswer(number, ProblemResponse({error_kind::kDraining, ""}, ""));
@@ -273,22 +276,24 @@
   if (row_.IsEmpty() && output_.empty()) Close();
 }
 
-int server_connection::AnswerPending() {
-  if (closed_) return 0;
+void server_connection::AnswerPending(abandoned_requests& abandoned) {
+  if (closed_) return;
   input_ended_ = true;
   input_.clear();
-  int handled = 0;
   for (row_entry& entry : row_.Entries()) {
     if (entry.answer) continue;
     // False if a response is on its way to this thread.
     if (entry.exchange != nullptr && !entry.exchange->AcceptResponse()) continue;
-    handled += entry.handled ? 1 : 0;
+    if (entry.handled) {
+      ++abandoned.count;
+      abandoned.first_received_at = std::min(abandoned.first_received_at, entry.received_at);
+      abandoned.last_received_at = std::max(abandoned.last_received_at, entry.received_at);
+    }
     const error reason = entry.handled ? error{error_kind::kOutcomeUnknown, "the daemon stopped"}
                                        : error{error_kind::kDraining, ""};
     row_.SetAnswer(entry.number, ProblemResponse(reason, ""));
   }
   WriteAnswers();
-  return handled;
 }
 
 void server_connection::CheckTimeout(absl::Time now) {
--- a/src/http/internal/server_connection.h
+++ b/src/http/internal/server_connection.h
@@ -17,6 +17,14 @@
 
 namespace teaseljunction {
 
+/// Requests that are given up when the server stops.
+struct abandoned_requests {
+  int count = 0;
+  /// Times at which the first and the last of them had arrived.
+  absl::Time first_received_at = absl::InfiniteFuture();
+  absl::Time last_received_at = absl::InfinitePast();
+};
+
 /// One connection of the server: its socket, the requests that it has received and the answers that
 /// wait to be sent. All members are used on the thread of the loop; the object is destroyed there.
 class server_connection : public std::enable_shared_from_this<server_connection> {
@@ -41,9 +49,9 @@
   void StopReceiving();
 
   /// Answers all requests without an answer: those that the handler has with kOutcomeUnknown, the
-  /// others with kDraining. Later responses of the handler are ignored. Returns the number of
-  /// requests that the handler had.
-  int AnswerPending();
+  /// others with kDraining. Later responses of the handler are ignored. Adds the requests that the
+  /// handler had to `abandoned`.
+  void AnswerPending(abandoned_requests& abandoned);
 
   /// Called with the response to a request.
   void OnAnswer(uint64_t number, http_response response);
