Report loads of services with their age

Change: a load travels with its age (node.capnp: pressureAge), grows older at each hop, and counts for one second at the entry; of two loads the later one counts.

--- a/src/gateway/call_graph.h
+++ b/src/gateway/call_graph.h
@@ -35,7 +35,7 @@
 
   /// Returns the cost of a route served by the local target. `own` is the cost at the target's own
   /// service.
-  route_cost CostOf(absl::string_view route, const service_cost& own) const;
+  route_cost CostOf(absl::string_view route, const service_cost& own, absl::Time now) const;
 
   /// Returns the name of a service that has no capacity for a new request, or an empty string when
   /// the request can be admitted.
--- a/src/gateway/internal/call_graph.cc
+++ b/src/gateway/internal/call_graph.cc
@@ -24,13 +24,14 @@
                              absl::Time now) {
   if (reported.empty()) return;
   absl::MutexLock lock(&mutex_);
-  costs_.Update(route, reported);
+  costs_.Update(route, reported, now);
   admission_.RecordLoad(reported, now);
 }
 
-route_cost call_graph::CostOf(absl::string_view route, const service_cost& own) const {
+route_cost call_graph::CostOf(absl::string_view route, const service_cost& own,
+                              absl::Time now) const {
   absl::MutexLock lock(&mutex_);
-  return costs_.Compose(own, ratios_.ChildCallRatios(route));
+  return costs_.Compose(own, ratios_.ChildCallRatios(route), now);
 }
 
 std::string call_graph::FindOverloadedService(const call& request, absl::Time now) {
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -467,7 +467,8 @@
     includes_cost = ++response_count_ % kResponsesPerCostReport == 0;
   }
   if (!includes_cost) return;
-  delivered.costs = deps_.graph.CostOf(request.route, {request.service, 1, delivered.load});
+  const service_cost own = {request.service, 1, delivered.load, absl::ZeroDuration()};
+  delivered.costs = deps_.graph.CostOf(request.route, own, deps_.clock.Now());
 }
 
 void target_executor::Deliver(task& finished, outcome<call_answer> answer,
--- a/src/overload/internal/entry_admission.cc
+++ b/src/overload/internal/entry_admission.cc
@@ -19,7 +19,8 @@
 constexpr double kMaxRisePerStep = 0.02;
 /// Some of the most important requests are always admitted, so that load reports keep arriving.
 constexpr double kMinLevel = 0.25;
-/// When no load has been reported for this long, the level rises as if the service were idle.
+/// When no load that was measured within this time is known, the level rises as if the service were
+/// idle.
 constexpr absl::Duration kLoadExpiry = absl::Seconds(1);
 /// Maximum number of steps that are applied at once after a pause.
 constexpr int kMaxCatchUpSteps = 20;
@@ -30,6 +31,9 @@
 
 void entry_admission::RecordLoad(absl::Span<const service_cost> reported, absl::Time now) {
   for (const service_cost& cost : reported) {
+    // A daemon in between keeps reporting the last load that it has seen. While requests that reach
+    // the service are refused, it sees no other one, and the refusals would never end.
+    if (cost.load_age > kLoadExpiry) continue;
     service_state& state = services_[cost.service];
     const double elapsed = absl::FDivDuration(now - state.updated_at, kLoadAveragingTime);
     const double weight = std::clamp(1 - std::exp(-elapsed), 0.02, 1.0);
--- a/src/overload/tests/call_ratio_estimator_test.cc
+++ b/src/overload/tests/call_ratio_estimator_test.cc
@@ -85,14 +85,15 @@
 
 TEST_CASE("the cost of a route includes calls at all depths") {
   route_cost_table orders;
-  orders.Update("table", {{"quoting", 1, 0.4}, {"cutting", 4, 0.9}});
+  const absl::Time now = absl::UnixEpoch();
+  orders.Update("table", {{"quoting", 1, 0.4, {}}, {"cutting", 4, 0.9, {}}}, now);
   const route_cost status =
-      orders.Compose({"orders", 1, 0.2}, std::vector<call_ratio>{{"table", 1}});
+      orders.Compose({"orders", 1, 0.2, {}}, std::vector<call_ratio>{{"table", 1}}, now);
   REQUIRE(status.size() == 3);
   route_cost_table inventory;
-  inventory.Update("status", status);
+  inventory.Update("status", status, now);
   const route_cost lookup =
-      inventory.Compose({"inventory", 1, 0.1}, std::vector<call_ratio>{{"status", 2}});
+      inventory.Compose({"inventory", 1, 0.1, {}}, std::vector<call_ratio>{{"status", 2}}, now);
   double cutting_calls = 0;
   for (const service_cost& cost : lookup) {
     if (cost.service == "cutting") cutting_calls = cost.calls;
@@ -102,8 +103,9 @@
 
 TEST_CASE("the cost at a service that a route no longer reaches decays") {
   route_cost_table table;
-  table.Update("lookup", {{"stock", 1, 0}, {"cutting", 8, 0}});
-  for (int i = 0; i < 40; ++i) table.Update("lookup", {{"stock", 1, 0}});
+  const absl::Time now = absl::UnixEpoch();
+  table.Update("lookup", {{"stock", 1, 0, {}}, {"cutting", 8, 0, {}}}, now);
+  for (int i = 0; i < 40; ++i) table.Update("lookup", {{"stock", 1, 0, {}}}, now);
   for (const service_cost& cost : table.CostOf("lookup")) {
     if (cost.service == "cutting") CHECK(cost.calls < 0.05);
     if (cost.service == "stock") CHECK(cost.calls == Approx(1));
--- a/src/overload/types.h
+++ b/src/overload/types.h
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
+
 namespace teaseljunction {
 
 /// Cost of one request of a route at one service, including all child calls below it.
@@ -12,6 +14,8 @@
   double calls = 0;
   /// Load of the service's targets: running and waiting calls divided by the concurrency limit.
   double load = 0;
+  /// Time from the measurement of the load to this report.
+  absl::Duration load_age;
   bool operator==(const service_cost&) const = default;
 };
 
--- a/src/rpc/internal/convert_call.cc
+++ b/src/rpc/internal/convert_call.cc
@@ -123,6 +123,7 @@
     costs[i].setService(ToText(value.costs[i].service));
     costs[i].setCalls(static_cast<float>(value.costs[i].calls));
     costs[i].setPressure(static_cast<float>(value.costs[i].load));
+    costs[i].setPressureAge(ToWire(value.costs[i].load_age));
   }
 }
 
@@ -141,7 +142,8 @@
   value.target_failed = in.getTargetFailed();
   value.load = in.getLoad();
   for (const auto cost : in.getCosts()) {
-    value.costs.push_back({FromText(cost.getService()), cost.getCalls(), cost.getPressure()});
+    value.costs.push_back({FromText(cost.getService()), cost.getCalls(), cost.getPressure(),
+                           DurationFromWire(cost.getPressureAge())});
   }
   return value;
 }
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -67,6 +67,8 @@
   service @0 :Text;
   calls @1 :Float32;
   pressure @2 :Float32;
+  # Time in nanoseconds from the measurement of the pressure to this message.
+  pressureAge @3 :Int64;
 }
 
 struct Target {
