--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -46,10 +46,12 @@
 }
 
 http_server::impl::impl(const http_server_settings& settings, http_handler* handler)
-    : handler_(handler), state_(std::make_shared<server_state>(settings, *handler)) {}
+    : state_(std::make_shared<server_state>(settings, handler)) {}
 
 result<uint16_t> http_server::impl::Start() {
-  if (handler_ == nullptr) return Fail(error_kind::kSettingInvalid, "the server has no handler");
+  if (state_->handler == nullptr) {
+    return Fail(error_kind::kSettingInvalid, "the server has no handler");
+  }
   BOOST_LEAF_AUTO(address, ParseSocketAddress(state_->settings.address));
   BOOST_LEAF_AUTO(fd, OpenListenSocket(address, false));
   const uint16_t port = BoundPort(fd);
--- a/src/http/internal/http_server_impl.h
+++ b/src/http/internal/http_server_impl.h
@@ -35,7 +35,6 @@
   bool IsIdle(bool ignore_receiving) const;
   void AnswerPendingRequests();
 
-  http_handler* const handler_;
   const std::shared_ptr<server_state> state_;
   std::vector<std::shared_ptr<event_loop>> own_loops_;
   std::vector<std::shared_ptr<server_loop>> loops_;
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -164,7 +164,7 @@
   message.remote_ip = remote_ip_;
   message.received_at = last_activity_;
   if (!request.keep_alive) input_ended_ = true;
-  const bool may_overlap = server_->handler.MayOverlap(message);
+  const bool may_overlap = server_->handler->MayOverlap(message);
   row_entry& added = row_.Add(std::move(request), may_overlap);
   added.received_at = last_activity_;
   const uint64_t number = added.number;
@@ -188,7 +188,7 @@
   while (row_entry* next = row_.NextToHandle()) {
     next->exchange = std::make_shared<exchange_state>();
     auto exchange = MakeExchange(next->exchange, weak_from_this(), next->number, loop_);
-    server_->handler.Handle(std::move(next->request.message), std::move(exchange));
+    server_->handler->Handle(std::move(next->request.message), std::move(exchange));
   }
 }
 
--- a/src/http/internal/server_state.h
+++ b/src/http/internal/server_state.h
@@ -13,7 +13,7 @@
 
 /// What all connections of a server share. Thread-safe.
 struct server_state {
-  server_state(const http_server_settings& server_settings, http_handler& request_handler)
+  server_state(const http_server_settings& server_settings, http_handler* request_handler)
       : settings(server_settings),
         handler(request_handler),
         usage({settings.max_overlapping_requests, settings.max_overlapping_bytes}) {}
@@ -21,7 +21,7 @@
   void LogLimited(absl::string_view line);
 
   const http_server_settings settings;
-  http_handler& handler;
+  http_handler* const handler;
   overlap_usage usage;
   log_limiter limiter;
   /// False once connections are to be closed when their requests have been answered.
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -293,6 +293,13 @@
   exchanges.clear();
 }
 
+TEST_CASE("a server without a handler does not start") {
+  const auto server = http_server_builder().Address("127.0.0.1:0").Build();
+  const auto started = Capture<uint16_t>([&] { return server->Start(); });
+  REQUIRE(std::holds_alternative<error>(started));
+  CHECK(std::get<error>(started).kind == error_kind::kSettingInvalid);
+}
+
 // Guards against a connection that stays suspended after its handler has dropped the exchange.
 TEST_CASE("an exchange dropped without a response is answered with an internal error") {
   test_server running([](const http_request&, const std::shared_ptr<http_exchange>&) {});
