Rank the calls below a request with the request

Without a token such calls are critical, whichever request made them, and each has a cohort of its own: a target that refuses a tenth of them fails most requests that make ten calls, the important ones like the others.

Not shown: whether the level or a full queue refused each of them; the log has both as "overloaded", 11 ms after the call.

Change: if the id of a call shows the execution that made it, the call gets the cohort of the request, one hop more, and a priority raised once, at the first hop.

--- a/src/gateway/call_graph.h
+++ b/src/gateway/call_graph.h
@@ -6,8 +6,10 @@
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "common/types.h"
+#include "overload/call_rank.h"
 #include "overload/call_ratio_estimator.h"
 #include "overload/entry_admission.h"
 #include "overload/route_cost_table.h"
@@ -20,8 +22,8 @@
 /// this daemon. Thread-safe.
 class call_graph {
  public:
-  /// Counts one execution of a route started at the local target.
-  void RecordExecutionStart(absl::string_view request_id, absl::string_view route, absl::Time now);
+  /// Counts one execution started at the local target.
+  void RecordExecutionStart(const call& request, absl::Time now);
 
   /// Called at the end of an execution that was started with this request id.
   void RecordExecutionEnd(absl::string_view request_id);
@@ -29,6 +31,10 @@
   /// Counts one child call made by the local target.
   void RecordChildCall(absl::string_view request_id, absl::string_view route, absl::Time now);
 
+  /// Returns the rank of a child call made by the local target, or nothing if the execution that
+  /// made it is not known.
+  absl::optional<call_rank> RankOfChild(absl::string_view request_id) const;
+
   /// Records the costs reported with the response to a call of `route`.
   void RecordCosts(absl::string_view route, absl::Span<const service_cost> reported,
                    absl::Time now);
--- a/src/gateway/entry_request_handler.h
+++ b/src/gateway/entry_request_handler.h
@@ -60,6 +60,8 @@
   std::string RequestIdFor(const http_request& request);
   uint64_t ManifestVersion() const;
   result<resolved_call> Resolve(const http_request& request, const std::string& request_id);
+  // Gives a child call without a token the rank that follows from the execution that made it.
+  void InheritRank(call& request) const;
   // Time after which a caller refused because of the stop is asked to come back.
   absl::Duration DrainingRetryAfter(absl::Time now);
 
--- a/src/gateway/internal/call_graph.cc
+++ b/src/gateway/internal/call_graph.cc
@@ -2,11 +2,18 @@
 
 namespace teaseljunction {
 
-void call_graph::RecordExecutionStart(absl::string_view request_id, absl::string_view route,
-                                      absl::Time now) {
+void call_graph::RecordExecutionStart(const call& request, absl::Time now) {
   absl::MutexLock lock(&mutex_);
-  executions_.Add(request_id, route);
-  ratios_.RecordExecution(route, now);
+  executions_.Add(request.request_id, request.route,
+                  {request.priority, request.cohort, request.depth});
+  ratios_.RecordExecution(request.route, now);
+}
+
+absl::optional<call_rank> call_graph::RankOfChild(absl::string_view request_id) const {
+  absl::MutexLock lock(&mutex_);
+  const absl::optional<call_rank> parent = executions_.RankOfParent(request_id);
+  if (!parent) return absl::nullopt;
+  return RankOfChildCall(*parent);
 }
 
 void call_graph::RecordExecutionEnd(absl::string_view request_id) {
--- a/src/gateway/internal/entry_request_handler.cc
+++ b/src/gateway/internal/entry_request_handler.cc
@@ -57,7 +57,10 @@
   BOOST_LEAF_AUTO(resolved,
                   ResolveCall(*manifest, contexts_, deps_.settings, request, request_id, now));
   BOOST_LEAF_CHECK(ApplyDrain(resolved, now));
-  if (resolved.parent == nullptr) return resolved;
+  if (resolved.parent == nullptr) {
+    InheritRank(resolved.request);
+    return resolved;
+  }
   const auto attempts = resolved.parent->TakeForChild();
   if (!attempts) return Fail(error_kind::kAttemptsExhausted);
   resolved.request.attempt_budget = attempts->attempts;
@@ -65,6 +68,15 @@
   return resolved;
 }
 
+void entry_request_handler::InheritRank(call& request) const {
+  if (request.depth == 0) return;
+  const absl::optional<call_rank> rank = deps_.graph.RankOfChild(request.request_id);
+  if (!rank) return;
+  request.priority = rank->priority;
+  request.cohort = rank->cohort;
+  request.depth = rank->depth;
+}
+
 void entry_request_handler::BeginDrain(absl::Time callers_leave_at, absl::Time stop_end) {
   absl::MutexLock lock(&mutex_);
   drain_ = drain_state{callers_leave_at, stop_end, absl::nullopt};
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -327,8 +327,7 @@
     }
   }
   if (!target) return RunDeferred(std::move(work));
-  deps_.graph.RecordExecutionStart(started->request.request_id, started->request.route,
-                                   started->started_at);
+  deps_.graph.RecordExecutionStart(started->request, started->started_at);
   started->running = std::make_shared<running_call>(started->request, started->deadline);
   started->token = deps_.contexts.Add(started->running);
   if (WantsCallLog(call_event::kStarted, started->request.request_id)) {
--- a/src/gateway/tests/entry_request_handler_test.cc
+++ b/src/gateway/tests/entry_request_handler_test.cc
@@ -152,4 +152,28 @@
   CHECK(fixture.SendChild()->responses == 0);
 }
 
+// Targets that know no token: the call is ranked with the request that made it, if its id shows it.
+TEST_CASE("a child call without a token gets the rank of the request that its id is derived from") {
+  handler_fixture fixture;
+  fixture.settings.headers.caller_request_id = true;
+  fixture.MarkRoutesInternal();
+  call request;
+  request.request_id = "4bf92f";
+  request.route = "front";
+  request.priority = request_priority::kLow;
+  request.cohort = 77;
+  fixture.graph.RecordExecutionStart(request, fixture.time.Now());
+  const auto send = [&](std::string id) {
+    fixture.Send("/stock/1", {{fixture.settings.headers.request_id, std::move(id)}});
+    return fixture.peers.attempts.back().request;
+  };
+  const call child = send("4bf92f.1");
+  CHECK(child.priority == request_priority::kHigh);
+  CHECK(child.cohort == 77);
+  CHECK(child.depth == 1);
+  CHECK(send("a3ce92.1").priority == request_priority::kCritical);
+  fixture.graph.RecordExecutionEnd("4bf92f");
+  CHECK(send("4bf92f.2").priority == request_priority::kCritical);
+}
+
 }  // namespace teaseljunction
--- a/src/overload/running_executions.h
+++ b/src/overload/running_executions.h
@@ -4,6 +4,8 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
+#include "absl/types/optional.h"
+#include "overload/call_rank.h"
 
 namespace teaseljunction {
 
@@ -12,20 +14,27 @@
 /// runs, as in "4bf92f.1" below "4bf92f". Not thread-safe.
 class running_executions {
  public:
-  void Add(absl::string_view request_id, absl::string_view route);
+  void Add(absl::string_view request_id, absl::string_view route, const call_rank& rank);
   void Remove(absl::string_view request_id);
 
   /// Returns the route of the execution that made the call with this id; empty if its id is not
   /// derived from one that runs. The view is valid until the next call of `Remove`.
   absl::string_view RouteOfParent(absl::string_view child_request_id) const;
 
+  /// Returns the rank of that execution, or nothing.
+  absl::optional<call_rank> RankOfParent(absl::string_view child_request_id) const;
+
  private:
   struct execution {
     std::string route;
+    call_rank rank;
     /// More than one when the same request runs again at the same target.
     int count = 0;
   };
 
+  // Returns null if there is none.
+  const execution* FindParent(absl::string_view child_request_id) const;
+
   absl::flat_hash_map<std::string, execution> executions_;
 };
 
--- a/src/overload/tests/call_ratio_estimator_test.cc
+++ b/src/overload/tests/call_ratio_estimator_test.cc
@@ -64,18 +64,20 @@
 
 TEST_CASE("the parent of a call is found by the request id that its id is derived from") {
   running_executions executions;
-  executions.Add("4bf92f", "calendar");
-  executions.Add("4bf92f.1", "balance");
-  executions.Add("a3ce92", "route");
+  executions.Add("4bf92f", "calendar", {request_priority::kLow, 7, 0});
+  executions.Add("4bf92f.1", "balance", {request_priority::kHigh, 7, 1});
+  executions.Add("a3ce92", "route", {});
   CHECK(executions.RouteOfParent("4bf92f.2") == "calendar");
   CHECK(executions.RouteOfParent("4bf92f.1.7") == "balance");
+  CHECK(executions.RankOfParent("4bf92f.1.7") == call_rank{request_priority::kHigh, 7, 1});
+  CHECK_FALSE(executions.RankOfParent("4bf92f.2.1"));
   // Neither the id of an execution, nor one of another target's execution, nor a mere prefix.
   CHECK(executions.RouteOfParent("4bf92f").empty());
   CHECK(executions.RouteOfParent("4bf92f.2.1").empty());
   CHECK(executions.RouteOfParent("4bf92f1").empty());
   CHECK(executions.RouteOfParent("").empty());
   // The same request runs twice.
-  executions.Add("a3ce92", "route");
+  executions.Add("a3ce92", "route", {});
   executions.Remove("a3ce92");
   CHECK(executions.RouteOfParent("a3ce92.1") == "route");
   executions.Remove("a3ce92");
@@ -83,6 +85,17 @@
   executions.Remove("unknown");
 }
 
+// Guards against a cohort of its own for each call of a request, which would fail nearly every
+// request as soon as a service refuses a part of its calls.
+TEST_CASE("the calls below a request share its cohort and keep the order of the requests") {
+  const call_rank lookup = RankOfChildCall({request_priority::kLow, 9, 0});
+  const call_rank order = RankOfChildCall({request_priority::kHigh, 200, 0});
+  CHECK(lookup == call_rank{request_priority::kHigh, 9, 1});
+  CHECK(order == call_rank{request_priority::kCritical, 200, 1});
+  CHECK(RankOfChildCall(lookup) == call_rank{request_priority::kHigh, 9, 2});
+  CHECK(RankOfChildCall(RankOfChildCall(order)) == call_rank{request_priority::kCritical, 200, 3});
+}
+
 TEST_CASE("the cost of a route includes calls at all depths") {
   route_cost_table orders;
   const absl::Time now = absl::UnixEpoch();
