--- a/src/gateway/tests/overload_loop_test.cc
+++ b/src/gateway/tests/overload_loop_test.cc
@@ -3,7 +3,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <vector>
 
