--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -59,6 +59,8 @@
   std::string leader_address;
   /// All members of the group. A member without a group lists only itself.
   std::vector<control_member_info> members;
+  /// False while it is unknown whether the last change of `members` is committed.
+  bool members_committed = true;
   /// Set when `role` is kFailed, and while the disk refuses writes.
   error failure;
 };
--- a/src/control/internal/member_core.cc
+++ b/src/control/internal/member_core.cc
@@ -391,6 +391,7 @@
   status.applied_index = state_.AppliedIndex();
   status.leader_address = failed_ ? std::string() : replica_->LeaderAddress();
   status.failure = failure_;
+  status.members_committed = replica_->IsConfigurationCommitted();
   status.members.clear();
   for (const group_member& member : replica_->Configuration()) {
     status.members.push_back({member.member_id, member.address, member.data_centre, member.voter});
--- a/src/control/internal/raft_replica.cc
+++ b/src/control/internal/raft_replica.cc
@@ -136,7 +136,7 @@
   if (existing == nullptr) return teaseljunction::Fail(error_kind::kNotFound, "Unknown member id.");
   if (existing->voter) return 0;
   const auto peer = peers_.find(change.member_id);
-  const bool caught_up = peer != peers_.end() &&
+  const bool caught_up = peer != peers_.end() && HasRecentContact(peer->second, now) &&
                          peer->second.match_index + settings_.max_promotion_lag >= log_.LastIndex();
   if (!caught_up) {
     return teaseljunction::Fail(error_kind::kNoQuorum, "The learner has not caught up yet.");
@@ -161,6 +161,10 @@
   return AppendConfiguration(std::move(next), now);
 }
 
+bool raft_replica::HasRecentContact(const peer_progress& peer, absl::Time now) const {
+  return now - peer.acked_send_time <= settings_.election_timeout_max;
+}
+
 result<uint64_t> raft_replica::AppendConfiguration(group_configuration configuration,
                                                    absl::Time now) {
   size_t voters = 0;
@@ -169,8 +173,7 @@
     if (!member.voter) continue;
     ++voters;
     const auto peer = peers_.find(member.member_id);
-    const bool recent = peer != peers_.end() &&
-                        now - peer->second.acked_send_time <= settings_.election_timeout_max;
+    const bool recent = peer != peers_.end() && HasRecentContact(peer->second, now);
     if (member.member_id == state_.member_id || recent) ++reachable;
   }
   if (voters == 0) {
--- a/src/control/raft_replica.h
+++ b/src/control/raft_replica.h
@@ -98,8 +98,9 @@
 
   /// Appends a membership change and returns its index, or 0 if the configuration already includes
   /// it. Errors: as `Propose`; kNoQuorum also while another change is uncommitted, while the leader
-  /// has not committed a record of its term, when the learner to promote has not caught up, and
-  /// when the changed group would have no reachable majority; kNotFound; kMalformedRequest.
+  /// has not committed a record of its term, when the learner to promote has not caught up or does
+  /// not respond, and when the changed group would have no reachable majority; kNotFound;
+  /// kMalformedRequest.
   result<uint64_t> ProposeChange(const add_learner& change, absl::Time now);
   result<uint64_t> ProposeChange(const promote_learner& change, absl::Time now);
   result<uint64_t> ProposeChange(const remove_member& change, absl::Time now);
@@ -146,6 +147,8 @@
   uint64_t LogBytes() const { return log_.Bytes(); }
   /// The latest configuration in the log, committed or not.
   const group_configuration& Configuration() const { return log_.Configuration(); }
+  /// True if `Configuration()` is known to be committed.
+  bool IsConfigurationCommitted() const { return log_.ConfigurationIndex() <= commit_index_; }
 
  private:
   // The replication progress of another member, as known to the leader.
@@ -195,6 +198,7 @@
 
   result<void> CheckProposal(absl::Time now) const;
   result<void> CheckChange(absl::Time now) const;
+  bool HasRecentContact(const peer_progress& peer, absl::Time now) const;
   result<uint64_t> AppendConfiguration(group_configuration configuration, absl::Time now);
 
   raft_message NewMessage(raft_message_kind kind, uint64_t to) const;
--- a/src/control/tests/group_failure_test.cc
+++ b/src/control/tests/group_failure_test.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -209,8 +211,189 @@
   return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
 }
 
+// The time that a successor has to catch up before the member that it replaces no longer counts,
+// the time in which the group must recover, and the shortest and longest planned shutdown.
+constexpr absl::Duration kCatchUpTime = absl::Seconds(4);
+constexpr absl::Duration kRecoveryTime = absl::Seconds(15);
+constexpr absl::Duration kShutdownMin = absl::Seconds(3);
+constexpr absl::Duration kShutdownMax = absl::Milliseconds(5100);
+
+// Replacements of members while other members lose their disks. A group of `2 * tolerated + 1`
+// voters must bear `tolerated` losses at once.
+struct replacement_case {
+  int tolerated;
+  int replaced;
+  absl::Duration loss_after;
+};
+
+class replacement_run {
+ public:
+  replacement_run(const replacement_case& chosen, uint64_t seed)
+      : chosen_(chosen),
+        voters_(2 * chosen.tolerated + 1),
+        group_(voters_, seed, chosen.replaced, static_cast<uint64_t>(chosen.tolerated) + 1) {
+    group_.EnablePlanner({.desired_voters = static_cast<size_t>(voters_),
+                          .replacement_timeout = kCatchUpTime / 2,
+                          .max_spare_learners = static_cast<size_t>(chosen.tolerated)});
+    group_.RunUntil("a first leader", [&] { return group_.Leader() >= 0; });
+    group_.Run(absl::Seconds(3));
+    // The leader is among the replaced members in some runs.
+    const int first = group_.Random().Below(3) == 0 ? group_.Leader() : group_.RandomVoter();
+    for (int i = 0; i < chosen.replaced; ++i) replaced_.insert((first + i) % voters_);
+  }
+
+  void StartSuccessors() {
+    for (int i = 0; i < chosen_.replaced; ++i) group_.Restart(voters_ + i);
+  }
+  void DrainReplaced() {
+    for (const int node : replaced_) group_.Drain(node, kShutdownMin, kShutdownMax);
+  }
+  void LoseReplaced() {
+    for (const int node : replaced_) group_.Depart(node);
+  }
+  void EraseReplaced() {
+    for (const int node : replaced_) {
+      group_.Kill(node);
+      group_.EraseDisk(node);
+    }
+    group_.Run(absl::Seconds(1));
+    for (const int node : replaced_) group_.Restart(node);
+  }
+
+  // Takes the disks of `count` further members and restarts these after a second.
+  void LoseDisks(int count) {
+    std::set<int> lost;
+    const int leader = group_.Leader();
+    const bool is_candidate = leader >= 0 && leader < voters_ && replaced_.count(leader) == 0;
+    if (count > 0 && is_candidate && group_.Random().Below(2) == 0) lost.insert(leader);
+    while (static_cast<int>(lost.size()) < count) {
+      const int node = group_.RandomVoter();
+      if (replaced_.count(node) == 0) lost.insert(node);
+    }
+    for (const int node : lost) {
+      group_.Kill(node);
+      group_.EraseDisk(node);
+    }
+    group_.Run(absl::Seconds(1));
+    for (const int node : lost) group_.Restart(node);
+  }
+
+  void CheckRecovery() {
+    group_.RunUntil(
+        "a leader after the losses", [&] { return group_.Leader() >= 0; }, kRecoveryTime);
+    group_.CheckProgress();
+    group_.RunUntil("a complete group",
+                    [&] { return group_.Voters().size() == static_cast<size_t>(voters_); });
+  }
+
+  const replacement_case& Case() const { return chosen_; }
+  simulated_group& Group() { return group_; }
+  int Successor() const { return voters_; }
+
+ private:
+  const replacement_case& chosen_;
+  const int voters_;
+  simulated_group group_;
+  std::set<int> replaced_;
+};
+
+// The successors come first, then the old members shut down.
+void PlannedReplacement(replacement_run& run) {
+  run.StartSuccessors();
+  run.Group().Run(kCatchUpTime);
+  run.DrainReplaced();
+  run.Group().Run(run.Case().loss_after);
+  run.LoseDisks(run.Case().tolerated);
+  run.CheckRecovery();
+}
+
+// The old members end without notice as their successors start. They count as lost until these have
+// caught up.
+void ReplacementWithoutNotice(replacement_run& run) {
+  run.LoseReplaced();
+  run.StartSuccessors();
+  run.Group().Run(run.Case().loss_after);
+  const bool caught_up = run.Case().loss_after >= kCatchUpTime;
+  run.LoseDisks(run.Case().tolerated - (caught_up ? 0 : run.Case().replaced));
+  run.CheckRecovery();
+}
+
+// Members restart with empty disks. They count as lost until they have caught up.
+void ReplacementOfDisks(replacement_run& run) {
+  run.EraseReplaced();
+  run.Group().Run(run.Case().loss_after);
+  const bool caught_up = run.Case().loss_after >= kCatchUpTime;
+  run.LoseDisks(run.Case().tolerated - (caught_up ? 0 : run.Case().replaced));
+  run.CheckRecovery();
+}
+
+// One of the successors ends for good during the shutdown of the old members, and counts as lost.
+void ReplacementWhoseSuccessorDies(replacement_run& run) {
+  run.StartSuccessors();
+  run.Group().Run(kCatchUpTime);
+  run.DrainReplaced();
+  run.Group().Run(run.Case().loss_after * run.Group().Random().Fraction());
+  run.Group().Depart(run.Successor());
+  run.Group().Run(run.Case().loss_after);
+  run.LoseDisks(run.Case().tolerated - 1);
+  run.Group().RunUntil(
+      "a leader after the losses", [&] { return run.Group().Leader() >= 0; }, kRecoveryTime);
+  run.Group().CheckProgress();
+}
+
+struct replacement_scenario {
+  absl::string_view name;
+  void (*run)(replacement_run&);
+};
+
+constexpr replacement_scenario kReplacements[] = {
+    {"planned replacement", PlannedReplacement},
+    {"replacement without notice", ReplacementWithoutNotice},
+    {"replacement of disks", ReplacementOfDisks},
+    {"replacement whose successor dies", ReplacementWhoseSuccessorDies},
+};
+constexpr int kMaxTolerated = 4;
+// Losses strike at any moment until some time after the old members have gone.
+constexpr absl::Duration kMaxLossTime = absl::Seconds(7);
+
+std::string RunReplacementSeed(uint64_t seed) {
+  seeded_random_source random(seed);
+  const replacement_scenario& chosen = kReplacements[seed % std::size(kReplacements)];
+  replacement_case parameters;
+  parameters.tolerated = 1 + static_cast<int>(random.Below(kMaxTolerated));
+  const int max_replaced = std::min(parameters.tolerated, 2);
+  parameters.replaced = 1 + static_cast<int>(random.Below(static_cast<uint64_t>(max_replaced)));
+  parameters.loss_after = kMaxLossTime * random.Fraction();
+  try {
+    replacement_run run(parameters, seed);
+    chosen.run(run);
+  } catch (const invariant_violation& violation) {
+    return absl::StrCat(chosen.name, " of ", parameters.replaced, " in a group that bears ",
+                        parameters.tolerated, " losses, which strike after ",
+                        absl::FormatDuration(parameters.loss_after), ": ", violation.what);
+  }
+  return {};
+}
+
 }  // namespace
 
+// Guards against review case 1 (issue 33): a configuration that is lost with as many disks as the
+// group must bear, because a member that left still counted towards the majority.
+// TEASELJUNCTION_SEED and TEASELJUNCTION_SEEDS as below.
+TEST_CASE("the group bears losses of disks at any moment of a replacement") {
+  const uint64_t first = NumberFromEnvironment("TEASELJUNCTION_SEED", 0);
+  const uint64_t count = NumberFromEnvironment("TEASELJUNCTION_SEEDS", 240);
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    const std::string violation = RunReplacementSeed(seed);
+    INFO("repeat with: TEASELJUNCTION_SEED=" << seed
+                                             << " TEASELJUNCTION_SEEDS=1 control_test \"the group "
+                                                "bears losses of disks at any moment of a "
+                                                "replacement\"");
+    INFO(violation);
+    CHECK(violation.empty());
+  }
+}
+
 // Guards against violations of the invariants that simulated_group checks, in each failure
 // scenario. TEASELJUNCTION_SEED sets the first seed and TEASELJUNCTION_SEEDS the number of seeds.
 TEST_CASE("the group keeps its invariants under failures") {
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <ctime>
 #include <thread>
@@ -26,6 +27,7 @@
 namespace {
 
 constexpr absl::Duration kIdleCheckInterval = absl::Milliseconds(20);
+constexpr absl::Duration kReplacementCheckInterval = absl::Milliseconds(100);
 constexpr absl::Duration kOtherListenersDrainTimeout = absl::Milliseconds(200);
 // Child calls that arrive after the drain delay end this long before the drain timeout, so that
 // their targets' responses can still be sent.
@@ -91,6 +93,11 @@
   void WaitForStop();
   bool Drain();
   bool WaitUntilIdle(absl::Time deadline);
+  // Waits while the control group needs this member although a successor is there. Without a
+  // successor the member leaves at once, since the group then loses it in any case.
+  void WaitUntilReplaced(absl::Time deadline);
+  // True if this member is a voter and the group has a member that could take its place.
+  bool HasSuccessor() const;
   // Drains all listeners except that for callers at the same time, because each may wait for
   // clients that do not read.
   void DrainOtherListeners();
@@ -218,7 +225,11 @@
                                  .Build());
   leader_service_ = std::make_unique<leader_service>(
       clock_, *member_, *peers_, decode_,
-      membership_planner_settings{.desired_voters = settings_.control_voters}, settings_.tolerance);
+      membership_planner_settings{
+          .desired_voters = settings_.control_voters,
+          .replacement_timeout = settings_.control_replacement_timeout,
+          .max_spare_learners = std::max<size_t>(settings_.control_voters / 2, 1)},
+      settings_.tolerance);
   manifest_observer_.SetLeader(leader_service_.get());
   sync_->SetControlMember(member_->Status().member_id);
   return {};
@@ -323,6 +334,33 @@
   return false;
 }
 
+bool daemon_process_impl::HasSuccessor() const {
+  const control_status status = member_->Status();
+  size_t voters = 0;
+  bool is_voter = false;
+  for (const control_member_info& member : status.members) {
+    if (!member.voter) continue;
+    ++voters;
+    if (member.member_id == status.member_id) is_voter = true;
+  }
+  const bool learner_waits = voters < status.members.size();
+  return is_voter && (learner_waits || voters > settings_.control_voters);
+}
+
+void daemon_process_impl::WaitUntilReplaced(absl::Time deadline) {
+  if (member_ == nullptr || settings_.control_voters == 0) return;
+  // A member that has been removed from the group receives no more records, so it learns of its
+  // removal from the leader's response to a sync.
+  while (clock_.Now() < deadline && HasSuccessor() &&
+         !locator_.IsFormerMember(settings_.rpc_listen)) {
+    sync_->RequestSync();
+    absl::SleepFor(kReplacementCheckInterval);
+  }
+  LogDrainStep(HasSuccessor() && !locator_.IsFormerMember(settings_.rpc_listen)
+                   ? "control group still needs this member"
+                   : "control group does not need this member");
+}
+
 void daemon_process_impl::DrainOtherListeners() {
   std::vector<std::thread> drains;
   const auto drain = [&drains](http_server& server) {
@@ -353,6 +391,7 @@
   finished = entry_server_->Drain(deadline - clock_.Now()) && finished;
   LogDrainStep("server for callers stopped");
   finished = pending_work_.WaitUntilIdle(deadline - clock_.Now()) && finished;
+  WaitUntilReplaced(deadline);
   finished = rpc_server_->Drain(deadline - clock_.Now()) && finished;
   LogDrainStep("server for daemons stopped");
   DrainOtherListeners();
--- a/src/daemon/internal/leader_client.cc
+++ b/src/daemon/internal/leader_client.cc
@@ -34,6 +34,12 @@
   members_ = members;
 }
 
+bool leader_locator::IsFormerMember(absl::string_view address) const {
+  absl::MutexLock lock(&mutex_);
+  return !members_.empty() &&
+         std::find(members_.begin(), members_.end(), address) == members_.end();
+}
+
 std::vector<std::string> leader_locator::KnownAddresses() const {
   std::vector<std::string> known = members_;
   for (const std::string& seed : seeds_) {
--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -2,12 +2,27 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "common/compression.h"
 #include "common/log.h"
 #include "daemon/account_rates.h"
 #include "membership/announcement_check.h"
 
 namespace teaseljunction {
+namespace {
+
+std::string Describe(const command& change) {
+  if (const auto* added = std::get_if<add_learner>(&change)) {
+    return absl::StrCat("member ", added->member_id, " at ", added->address, " becomes a learner");
+  }
+  if (const auto* promoted = std::get_if<promote_learner>(&change)) {
+    return absl::StrCat("learner ", promoted->member_id, " becomes a voter");
+  }
+  const auto* removed = std::get_if<remove_member>(&change);
+  return absl::StrCat("member ", removed == nullptr ? 0 : removed->member_id, " is removed");
+}
+
+}  // namespace
 
 leader_service::leader_service(const clock_source& clock, control_member& member,
                                peer_client& peers, const manifest_decoder& decode,
@@ -108,25 +123,42 @@
 std::vector<std::string> leader_service::PlanMembers(const daemon_announcement& daemon,
                                                      absl::Time now) {
   const control_status status = member_.Status();
-  std::vector<std::string> addresses;
-  for (const control_member_info& member : status.members) addresses.push_back(member.address);
   absl::optional<command> change;
   {
     absl::MutexLock lock(&planner_mutex_);
     if (daemon.control_member_id != 0 && !FindDaemonError(daemon)) {
-      planner_.RecordContact(daemon.control_member_id, daemon.address, daemon.data_centre, now);
+      planner_.RecordContact(
+          {daemon.control_member_id, daemon.address, daemon.data_centre, daemon.draining}, now);
     }
+    if (!status.members_committed) return {};
     change = planner_.NextChange(status.members, status.member_id, now);
   }
-  if (change) {
-    member_.Propose(*std::move(change), [](const propose_response& response) {
-      if (response.result.applied)
-        LOG(INFO) << "control: the members of the control group have changed.";
-    });
-  }
+  std::vector<std::string> addresses;
+  for (const control_member_info& member : status.members) addresses.push_back(member.address);
+  if (change) ProposeChange(*std::move(change), daemon.address);
   return addresses;
 }
 
+void leader_service::ProposeChange(command change, std::string reporter) {
+  std::string description = Describe(change);
+  member_.Propose(std::move(change),
+                  [this, reporter = std::move(reporter),
+                   description = std::move(description)](const propose_response& response) {
+                    if (!response.result.applied) {
+                      LOG(WARNING) << "control: not changed: " << description << ": "
+                                   << response.result.failure.detail;
+                      return;
+                    }
+                    LOG(INFO) << "control: " << description << ".";
+                    {
+                      absl::MutexLock lock(&planner_mutex_);
+                      planner_.AllowNextChange();
+                    }
+                    // A replacement consists of several changes. Each of them is planned on a sync.
+                    peers_.RequestSync(reporter);
+                  });
+}
+
 void leader_service::UpdateAccounts(absl::Time now) {
   const auto record = member_.CurrentManifest();
   if (record->version == accounts_version_) return;
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -39,6 +39,8 @@
           "threads that call the target, 0 to 64; 0 uses the event loop");
 ABSL_FLAG(uint32_t, control_voters, 0,
           "voters that the control group keeps by itself, 0 to 9; 0 leaves it to operators");
+ABSL_FLAG(absl::Duration, control_replacement_timeout, absl::Seconds(4),
+          "time without contact after which a spare control member replaces a voter, 1s to 600s");
 ABSL_FLAG(uint32_t, durable_copies, 1,
           "control members that must store a manifest before it is accepted, 1 to 5");
 ABSL_FLAG(absl::Duration, target_lease, absl::Seconds(3),
@@ -58,10 +60,13 @@
 constexpr size_t kMaxNameBytes = 64;
 // Flags that can also be set by environment variables.
 constexpr absl::string_view kFlagNames[] = {
-    "listen",         "operators_listen", "rpc_listen",    "data_centre",     "daemon_id",
-    "control",        "data_dir",         "control_peers", "freshness_lease", "token_wait",
-    "drain_delay",    "drain_timeout",    "http_threads",  "rpc_threads",     "client_threads",
-    "max_body_bytes", "log_file",         "log_level",     "control_voters",  "durable_copies",
+    "listen",         "operators_listen", "rpc_listen",
+    "data_centre",    "daemon_id",        "control",
+    "data_dir",       "control_peers",    "freshness_lease",
+    "token_wait",     "drain_delay",      "drain_timeout",
+    "http_threads",   "rpc_threads",      "client_threads",
+    "max_body_bytes", "log_file",         "log_level",
+    "control_voters", "durable_copies",   "control_replacement_timeout",
     "target_lease"};
 
 result<void> ApplyEnvironment() {
@@ -143,6 +148,8 @@
   BOOST_LEAF_CHECK(ValidateThreads(settings.client_threads, "client_threads"));
   BOOST_LEAF_CHECK(
       Require(settings.control_voters <= kMaxVoters, "control_voters", "must be from 0 to 9."));
+  BOOST_LEAF_CHECK(ValidateDuration(settings.control_replacement_timeout, absl::Seconds(1),
+                                    absl::Seconds(600), "control_replacement_timeout"));
   BOOST_LEAF_CHECK(Require(settings.durable_copies >= 1 && settings.durable_copies <= kMaxCopies,
                            "durable_copies", "must be from 1 to 5."));
   BOOST_LEAF_CHECK(
@@ -165,6 +172,7 @@
   settings.freshness_lease = absl::GetFlag(FLAGS_freshness_lease);
   settings.token_wait = absl::GetFlag(FLAGS_token_wait);
   settings.control_voters = absl::GetFlag(FLAGS_control_voters);
+  settings.control_replacement_timeout = absl::GetFlag(FLAGS_control_replacement_timeout);
   settings.durable_copies = absl::GetFlag(FLAGS_durable_copies);
   settings.target_lease = absl::GetFlag(FLAGS_target_lease);
   settings.drain_delay = absl::GetFlag(FLAGS_drain_delay);
--- a/src/daemon/leader_client.h
+++ b/src/daemon/leader_client.h
@@ -26,6 +26,9 @@
   /// seeds.
   void SetMembers(const std::vector<std::string>& members);
 
+  /// Returns whether the leader has last reported control members and `address` is none of them.
+  bool IsFormerMember(absl::string_view address) const;
+
   /// Returns the address to try next; empty when no address is known.
   std::string Address() const;
 
--- a/src/daemon/leader_service.h
+++ b/src/daemon/leader_service.h
@@ -45,8 +45,10 @@
   // Returns the suspects, and proposes to quarantine requests that crashed several targets.
   std::vector<std::string> ProcessCrashReports(const sync_request& request, absl::Time now);
   // Records the control member of a daemon and proposes the next change of the group, if one is
-  // due. Returns the addresses of all control members.
+  // due. Returns the addresses of all control members, or none while a change is not committed.
   std::vector<std::string> PlanMembers(const daemon_announcement& daemon, absl::Time now);
+  // Proposes a change of the group, and asks the daemon at `reporter` to sync once it is made.
+  void ProposeChange(command change, std::string reporter);
   // Returns the compressed content of a manifest. Compresses each manifest once.
   std::shared_ptr<const std::string> CompressedContent(const manifest_record& manifest);
   void UpdateAccounts(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(tokens_mutex_);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -41,6 +41,9 @@
   /// Number of voters that the control group maintains automatically; 0 leaves its membership to
   /// operators.
   uint32_t control_voters = 0;
+  /// Time without contact after which a voter is replaced by a spare control member. Used with
+  /// `control_voters`.
+  absl::Duration control_replacement_timeout = absl::Seconds(4);
   /// Number of control members that must have stored a manifest before it is accepted, in addition
   /// to the requirement of a majority.
   uint32_t durable_copies = 1;
--- a/src/rpc/types.h
+++ b/src/rpc/types.h
@@ -68,7 +68,7 @@
   /// Fingerprints of requests that were in flight when a target crashed. Daemons report when such a
   /// request completes.
   std::vector<std::string> suspect_fingerprints;
-  /// Addresses of all control members.
+  /// Addresses of all control members; empty while a change of the group is not committed.
   std::vector<std::string> control_addresses;
   /// Latest known incarnation of the daemon when it is higher than that of the request, otherwise
   /// 0.
