--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -169,7 +169,7 @@
                                    resolver_.headers, call_graph_},
       settings_.daemon_id,
       admission_controller_builder().SetFixedLimit(settings_.fixed_concurrency_limit).Build(),
-      settings_.target_lease);
+      settings_.target_lease, settings_.target_drain_time);
   sync_ = std::make_unique<sync_loop>(
       sync_dependencies{clock_, loop_, *peers_, locator_, config_, accounts_, targets_, *executor_,
                         quarantine_, decode_},
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -45,6 +45,8 @@
           "control members that must store a manifest before it is accepted, 1 to 5");
 ABSL_FLAG(absl::Duration, target_lease, absl::Seconds(3),
           "time for which an announcement of the target is valid, 1s to 60s");
+ABSL_FLAG(absl::Duration, target_drain_time, teaseljunction::kTargetDrainTime,
+          "time for which a target serves after announcing that it is draining, 100ms to 600s");
 ABSL_FLAG(uint64_t, max_body_bytes, 1 << 20, "largest body of a request, 1 to 67108864 bytes");
 ABSL_FLAG(std::string, log_file, "", "file for the log; empty for the standard output");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
@@ -59,15 +61,29 @@
 constexpr uint64_t kMaxBodyBytes = 64 << 20;
 constexpr size_t kMaxNameBytes = 64;
 // Flags that can also be set by environment variables.
-constexpr absl::string_view kFlagNames[] = {
-    "listen",         "operators_listen", "rpc_listen",
-    "data_centre",    "daemon_id",        "control",
-    "data_dir",       "control_peers",    "freshness_lease",
-    "token_wait",     "drain_delay",      "drain_timeout",
-    "http_threads",   "rpc_threads",      "client_threads",
-    "max_body_bytes", "log_file",         "log_level",
-    "control_voters", "durable_copies",   "control_replacement_timeout",
-    "target_lease"};
+constexpr absl::string_view kFlagNames[] = {"listen",
+                                            "operators_listen",
+                                            "rpc_listen",
+                                            "data_centre",
+                                            "daemon_id",
+                                            "control",
+                                            "data_dir",
+                                            "control_peers",
+                                            "freshness_lease",
+                                            "token_wait",
+                                            "drain_delay",
+                                            "drain_timeout",
+                                            "http_threads",
+                                            "rpc_threads",
+                                            "client_threads",
+                                            "max_body_bytes",
+                                            "log_file",
+                                            "log_level",
+                                            "control_voters",
+                                            "durable_copies",
+                                            "control_replacement_timeout",
+                                            "target_drain_time",
+                                            "target_lease"};
 
 result<void> ApplyEnvironment() {
   for (const absl::string_view name : kFlagNames) {
@@ -154,6 +170,8 @@
                            "durable_copies", "must be from 1 to 5."));
   BOOST_LEAF_CHECK(
       ValidateDuration(settings.target_lease, absl::Seconds(1), absl::Seconds(60), "target_lease"));
+  BOOST_LEAF_CHECK(ValidateDuration(settings.target_drain_time, absl::Milliseconds(100),
+                                    absl::Seconds(600), "target_drain_time"));
   return Require(settings.max_body_bytes >= 1 && settings.max_body_bytes <= kMaxBodyBytes,
                  "max_body_bytes", "must be from 1 to 67108864.");
 }
@@ -175,6 +193,7 @@
   settings.control_replacement_timeout = absl::GetFlag(FLAGS_control_replacement_timeout);
   settings.durable_copies = absl::GetFlag(FLAGS_durable_copies);
   settings.target_lease = absl::GetFlag(FLAGS_target_lease);
+  settings.target_drain_time = absl::GetFlag(FLAGS_target_drain_time);
   settings.drain_delay = absl::GetFlag(FLAGS_drain_delay);
   settings.drain_timeout = absl::GetFlag(FLAGS_drain_timeout);
   settings.http_threads = absl::GetFlag(FLAGS_http_threads);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -8,6 +8,7 @@
 #include "common/result.h"
 #include "control/types.h"
 #include "daemon/account_rates.h"
+#include "membership/target_lease.h"
 
 namespace teaseljunction {
 
@@ -53,6 +54,8 @@
   bool allow_bootstrap = true;
   /// Time for which an announcement of the target is valid.
   absl::Duration target_lease = absl::Seconds(3);
+  /// Time for which a target goes on serving after it has announced that it is draining.
+  absl::Duration target_drain_time = kTargetDrainTime;
   /// Probed when the daemon starts, so that a restarted daemon can use the target before its next
   /// announcement.
   local_target_settings local_target;
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -20,9 +20,6 @@
 // Targets announce themselves once a second. When no announcement follows a lost connection within
 // this time, the process is considered lost.
 constexpr absl::Duration kLossConfirmationTimeout = absl::Milliseconds(1500);
-// Time for which a draining target still accepts calls, for daemons that have not yet learned that
-// it is draining.
-constexpr absl::Duration kDrainGracePeriod = absl::Seconds(1);
 // Time beyond the deadline in which the target can still respond that it has passed. Otherwise the
 // connection would be closed just as the target gives the call up itself.
 constexpr absl::Duration kTargetResponseMargin = absl::Milliseconds(50);
@@ -98,8 +95,9 @@
 
 target_executor::target_executor(const target_executor_dependencies& dependencies,
                                  std::string daemon_id, admission_controller admission,
-                                 absl::Duration lease)
+                                 absl::Duration lease, absl::Duration drain_time)
     : deps_(dependencies),
+      drain_grace_period_(drain_time / 2),
       admission_(std::move(admission)),
       lease_(lease),
       suspects_(std::move(daemon_id)) {}
@@ -191,23 +189,52 @@
   {
     absl::MutexLock lock(&mutex_);
     accepting_ = false;
-    const absl::Time now = deps_.clock.Now();
-    absl::erase_if(tasks_, [&](const auto& entry) {
-      // A call that is about to start has already left the queue.
-      const auto& [call_id, queued] = entry;
-      if (queued->started || !admission_.Cancel(call_id, now)) return false;
-      work.refusals.emplace_back(queued, error_kind::kDraining);
-      return true;
-    });
+    RefuseQueued(error_kind::kDraining, deps_.clock.Now(), work);
   }
   RunDeferred(std::move(work));
 }
 
-// Returns the reason for which a call is refused, or kInternal when it can be accepted.
-error_kind target_executor::RefusalReasonFor(const call& request, absl::Time now) {
+void target_executor::RefuseQueued(error_kind reason, absl::Time now, deferred_work& work) {
+  absl::erase_if(tasks_, [&](const auto& entry) {
+    // A call that is about to start has already left the queue.
+    const auto& [call_id, queued] = entry;
+    if (queued->started || !admission_.Cancel(call_id, now)) return false;
+    work.refusals.emplace_back(queued, reason);
+    return true;
+  });
+}
+
+bool target_executor::IsPastLastStart(absl::Time now) const {
+  return now - lease_.DrainingSince() >= drain_grace_period_;
+}
+
+absl::optional<error_kind> target_executor::FindSendObstacle(const call& request,
+                                                             absl::Time now) const {
   const auto target = lease_.Current(now);
   if (!target || target->service != request.service) return error_kind::kTargetUnreachable;
-  if (!accepting_ || now - lease_.DrainingSince() > kDrainGracePeriod) return error_kind::kDraining;
+  if (IsPastLastStart(now)) return error_kind::kDraining;
+  return absl::nullopt;
+}
+
+absl::optional<error> target_executor::CheckBeforeSend(task& started,
+                                                       const target_announcement& target) {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = deps_.clock.Now();
+  absl::optional<error_kind> obstacle = FindSendObstacle(started.request, now);
+  const auto current = lease_.Current(now);
+  // The address may belong to another process by now.
+  const bool same_target =
+      current && current->target_id == target.target_id && current->address == target.address;
+  if (!obstacle && !same_target) obstacle = error_kind::kTargetUnreachable;
+  if (!obstacle) return absl::nullopt;
+  started.refused_before_send = true;
+  return error{*obstacle, ""};
+}
+
+// Returns the reason for which a call is refused, or kInternal when it can be accepted.
+error_kind target_executor::RefusalReasonFor(const call& request, absl::Time now) {
+  if (const auto obstacle = FindSendObstacle(request, now)) return *obstacle;
+  if (!accepting_) return error_kind::kDraining;
   if (deps_.quarantine.Contains(request.fingerprint)) return error_kind::kQuarantined;
   return error_kind::kInternal;
 }
@@ -267,6 +294,7 @@
 void target_executor::PollAdmission(deferred_work& work) {
   const absl::Time now = deps_.clock.Now();
   ApplySlots(now);
+  if (IsPastLastStart(now)) RefuseQueued(error_kind::kDraining, now, work);
   for (const admission_decision& decision : admission_.Poll(now)) {
     ApplyDecision(decision, work);
   }
@@ -274,7 +302,9 @@
 }
 
 void target_executor::SchedulePoll() {
-  const absl::Time next = admission_.NextPoll(deps_.clock.Now());
+  const absl::Time now = deps_.clock.Now();
+  absl::Time next = admission_.NextPoll(now);
+  if (!IsPastLastStart(now)) next = std::min(next, lease_.DrainingSince() + drain_grace_period_);
   if (next == absl::InfiniteFuture() || next >= scheduled_poll_at_) return;
   scheduled_poll_at_ = next;
   deps_.timers.RunAt(next, [this] {
@@ -313,8 +343,9 @@
     if (found == tasks_.end()) return;
     started = found->second;
     const absl::Time now = deps_.clock.Now();
-    target = lease_.Current(now);
-    if (target) {
+    const absl::optional<error_kind> obstacle = FindSendObstacle(started->request, now);
+    if (!obstacle) {
+      target = lease_.Current(now);
       started->started = true;
       started->started_at = now;
       suspects_.OnStarted(started->request.fingerprint, now);
@@ -322,7 +353,7 @@
       // The end of a lease says nothing about the calls that run, so this is not a target loss.
       admission_.Finish(call_id, target_result::kCancelled, absl::ZeroDuration(), now);
       tasks_.erase(found);
-      work.refusals.emplace_back(started, error_kind::kTargetUnreachable);
+      work.refusals.emplace_back(started, *obstacle);
       PollAdmission(work);
     }
   }
@@ -338,11 +369,14 @@
              {"queued_ms", started->started_at - started->arrived_at}});
   }
   const absl::Duration time_left = started->deadline - started->started_at;
+  http_request sent =
+      RequestForTarget(started->request, started->token, *target, time_left, deps_.headers);
+  sent.before_send = [this, started, target = *target] {
+    return CheckBeforeSend(*started, target);
+  };
   const uint64_t http_id = deps_.client.Send(
-      target->address,
-      RequestForTarget(started->request, started->token, *target, time_left, deps_.headers),
-      !started->request.idempotent, time_left + kTargetResponseMargin,
-      [this, call_id](outcome<http_response> response) {
+      target->address, std::move(sent), !started->request.idempotent,
+      time_left + kTargetResponseMargin, [this, call_id](outcome<http_response> response) {
         OnResponse(call_id, std::move(response));
       });
   bool cancelled = false;
@@ -357,7 +391,7 @@
 void target_executor::OnResponse(uint64_t call_id, outcome<http_response> response) {
   std::shared_ptr<task> finished;
   deferred_work work;
-  const target_result result = ToTargetResult(response, deps_.headers);
+  target_result result = ToTargetResult(response, deps_.headers);
   absl::Time now;
   {
     absl::MutexLock lock(&mutex_);
@@ -366,6 +400,7 @@
     finished = found->second;
     tasks_.erase(found);
     now = deps_.clock.Now();
+    if (finished->refused_before_send) result = target_result::kCancelled;
     admission_.Finish(call_id, result, now - finished->started_at, now);
     auto* failure = std::get_if<error>(&response);
     if (failure != nullptr && failure->kind == error_kind::kTargetFailed) {
@@ -374,9 +409,8 @@
     } else {
       suspects_.OnFinished(finished->request.fingerprint, result == target_result::kAnswered, now);
     }
-    if (failure != nullptr && failure->kind == error_kind::kTargetUnreachable) {
-      HandleTargetLoss(now);
-    }
+    const bool unreachable = failure != nullptr && failure->kind == error_kind::kTargetUnreachable;
+    if (unreachable && !finished->refused_before_send) HandleTargetLoss(now);
     PollAdmission(work);
   }
   const absl::Duration service_time = now - finished->started_at;
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -51,9 +51,11 @@
   using completion = absl::AnyInvocable<void(execute_result)>;
 
   /// `daemon_id` identifies the target in crash reports. `lease` is the time for which an
-  /// announcement is valid.
+  /// announcement is valid. A draining target gets new calls during the first half of `drain_time`;
+  /// the other half is left for them to end.
   target_executor(const target_executor_dependencies& dependencies, std::string daemon_id,
-                  admission_controller admission, absl::Duration lease = kMembershipLease);
+                  admission_controller admission, absl::Duration lease = kMembershipLease,
+                  absl::Duration drain_time = kTargetDrainTime);
 
   /// Handles the withdrawal of the target with this incarnation. A target that was not draining
   /// starts to drain, because it still accepts calls for a while; otherwise its lease ends. Running
@@ -101,6 +103,7 @@
     uint64_t http_id = 0;
     bool started = false;
     bool cancelled = false;
+    bool refused_before_send = false;
   };
   class execution_handle;
 
@@ -120,6 +123,17 @@
   void Cancel(uint64_t call_id);
   error_kind RefusalReasonFor(const call& request, absl::Time now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns true once a draining target may get no more calls.
+  bool IsPastLastStart(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns the reason for which a call cannot be sent to the current target, or nothing.
+  absl::optional<error_kind> FindSendObstacle(const call& request, absl::Time now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Decides whether a started call is still sent, now that its connection to `target` is ready.
+  absl::optional<error> CheckBeforeSend(task& started, const target_announcement& target)
+      ABSL_LOCKS_EXCLUDED(mutex_);
+  // Moves all queued calls to the refusals.
+  void RefuseQueued(error_kind reason, absl::Time now, deferred_work& work)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplyDecision(const admission_decision& decision, deferred_work& work)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PollAdmission(deferred_work& work) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -140,6 +154,9 @@
   void Deliver(task& finished, outcome<call_answer> answer, absl::Duration service_time);
 
   const target_executor_dependencies deps_;
+  // Time for which a draining target still gets calls, for daemons that have not yet learned that
+  // it is draining and for queued calls.
+  const absl::Duration drain_grace_period_;
   absl::Mutex mutex_;
   admission_controller admission_ ABSL_GUARDED_BY(mutex_);
   target_lease lease_ ABSL_GUARDED_BY(mutex_);
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -34,6 +34,9 @@
     request.service = service;
     request.fingerprint = fingerprint;
     request.time_left = absl::Seconds(5);
+    // Calls of this priority may wait for long.
+    request.priority = request_priority::kCritical;
+    request.max_wait = absl::Seconds(4);
     return executor.Execute(request, [this](execute_result executed) {
       results.push_back(std::move(executed));
       if (after_result) std::exchange(after_result, nullptr)();
@@ -231,6 +234,96 @@
   CHECK(fixture.client.last_id == 1);
 }
 
+// Guards against review case 3 (issue 33): a call from the queue that starts so late after the
+// target has begun to drain that the target ends while it runs.
+TEST_CASE("queued calls of a draining target are refused as not run once it gets no more calls") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  fixture.Send("starts");
+  fixture.Send("waits");
+  fixture.Send("waits");
+  fixture.executor.HandleAnnouncement({"stock", 1, 8, true, 0, "127.0.0.1:1"});
+  fixture.time.AdvanceBy(kTargetDrainTime / 4);
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.client.last_id == 2);
+  CHECK(fixture.results.size() == 1);
+  // Nothing else happens at the target.
+  fixture.time.AdvanceBy(kTargetDrainTime / 4);
+  REQUIRE(fixture.results.size() == 3);
+  CHECK(fixture.LastFailure() == error_kind::kDraining);
+  CHECK(fixture.executor.Status().queued == 0);
+  fixture.client.End(2, http_response{200, {}, ""});
+  CHECK(fixture.client.last_id == 2);
+  CHECK(fixture.results.back().answer.index() == 0);
+}
+
+// Guards against a call that was started in time and then waits for a connection, while its target
+// drains, leaves or is replaced.
+TEST_CASE("a call whose connection is ready too late is not sent") {
+  struct departure_case {
+    const char* description;
+    void (*depart)(executor_fixture&);
+    error_kind expected;
+  };
+  const std::vector<departure_case> cases = {
+      {"draining",
+       [](executor_fixture& f) {
+         f.executor.HandleAnnouncement({"stock", 1, 8, true, 0, "127.0.0.1:1"});
+         f.time.AdvanceBy(kTargetDrainTime / 2);
+       },
+       error_kind::kDraining},
+      {"withdrawn",
+       [](executor_fixture& f) {
+         f.executor.HandleWithdrawal(1);
+         f.executor.HandleWithdrawal(1);
+       },
+       error_kind::kTargetUnreachable},
+      {"replaced by another service",
+       [](executor_fixture& f) {
+         f.executor.HandleAnnouncement({"orders", 2, 8, false, 0, "127.0.0.1:1"});
+       },
+       error_kind::kTargetUnreachable},
+      {"replaced at another address",
+       [](executor_fixture& f) {
+         f.executor.HandleAnnouncement({"stock", 2, 8, false, 0, "127.0.0.1:2"});
+       },
+       error_kind::kTargetUnreachable},
+  };
+  for (const departure_case& row : cases) {
+    INFO(row.description);
+    executor_fixture fixture;
+    fixture.Send("f");
+    const auto check = fixture.client.last_request.before_send;
+    CHECK_FALSE(check());
+    row.depart(fixture);
+    const auto refusal = check();
+    REQUIRE(refusal);
+    CHECK(refusal->kind == row.expected);
+    CHECK(AnswerFor(refusal->kind).run == run_state::kNotRun);
+    // A replacement is reported as a crash of the calls that were started.
+    fixture.executor.TakeCrashReports();
+    fixture.client.End(1, *refusal);
+    CHECK(fixture.LastFailure() == row.expected);
+    // The call did not reach the target, so it can't have crashed it.
+    CHECK(fixture.executor.TakeCrashReports().empty());
+  }
+}
+
+// Guards against a queued call that is sent to a process of another service at the same address.
+TEST_CASE(
+    "queued calls are refused as not run when another service takes the place of the target") {
+  executor_fixture fixture;
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  fixture.Send("queued");
+  fixture.executor.HandleAnnouncement({"orders", 2, 8, false, 0, "127.0.0.1:1"});
+  REQUIRE(fixture.results.size() == 1);
+  CHECK(fixture.LastFailure() == error_kind::kTargetUnreachable);
+  fixture.client.End(1, http_response{200, {}, ""});
+  CHECK(fixture.client.last_id == 1);
+}
+
 // Guards against sending new calls to a target long after it has started to drain or has withdrawn.
 TEST_CASE("a target that withdraws without draining starts to drain") {
   executor_fixture fixture;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -22,7 +22,7 @@
   /// reused connection closes before the first byte of the response. Returns an id for `Cancel`.
   /// Errors: kMalformedRequest; kTargetUnreachable if no byte was sent; kTargetFailed if the
   /// response is incomplete or not the expected one; kAnswerTooLarge; kDeadlineExceeded;
-  /// kCancelled.
+  /// kCancelled; the error of `http_request::before_send`.
   virtual uint64_t Send(absl::string_view address, http_request request, bool at_most_once,
                         absl::Duration timeout,
                         absl::AnyInvocable<void(outcome<http_response>)> completion) = 0;
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -150,6 +150,9 @@
   // have executed the first one, and the caller does not expect a second attempt.
   if (transfer->send_count_ > 0) return CURL_PREREQFUNC_ABORT;
   if (!transfer->CheckConnection(local_port)) return CURL_PREREQFUNC_ABORT;
+  const http_request& request = transfer->request_;
+  if (request.before_send) transfer->send_refusal_ = request.before_send();
+  if (transfer->send_refusal_) return CURL_PREREQFUNC_ABORT;
   ++transfer->send_count_;
   return CURL_PREREQFUNC_OK;
 }
@@ -292,6 +295,7 @@
 
 error curl_transfer::ErrorFor(CURLcode code) const {
   const char* detail = curl_easy_strerror(code);
+  if (send_refusal_) return *send_refusal_;
   if (response_too_large_) return {error_kind::kAnswerTooLarge, ""};
   if (send_count_ == 0) return {error_kind::kTargetUnreachable, detail};
   if (code == CURLE_OPERATION_TIMEDOUT) return {error_kind::kDeadlineExceeded, ""};
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -98,6 +98,8 @@
   curl_socket_t new_socket_ = CURL_SOCKET_BAD;
   bool restart_ = false;
   bool needs_new_connection_ = false;
+  /// Error of `before_send`.
+  absl::optional<error> send_refusal_;
   bool response_too_large_ = false;
   bool framing_known_ = false;
   /// Content-Length of the current head.
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -88,6 +88,41 @@
 
 }  // namespace
 
+// Guards against a request that reaches its server although its sender no longer wants it sent, for
+// example since it waited long for a connection.
+TEST_CASE("a request that is refused before it is sent does not reach the server") {
+  std::atomic<int> received = 0;
+  raw_server server([&](raw_socket& connection) {
+    while (!connection.ReadUntil("body").empty()) {
+      ++received;
+      connection.Write(Response("Content-Length: 0\r\n", ""));
+    }
+  });
+  const auto client = Builder().MaxConnectionsPerHost(1).Build();
+  std::atomic<bool> refuses = false;
+  const auto send = [&] {
+    std::promise<http_outcome> promise;
+    http_request request{"POST", "/", {}, "body"};
+    request.before_send = [&]() -> absl::optional<error> {
+      if (!refuses) return absl::nullopt;
+      return error{error_kind::kDraining, ""};
+    };
+    client->Send(server.address(), std::move(request), false, kLongTimeout,
+                 [&](http_outcome done) { promise.set_value(std::move(done)); });
+    return promise.get_future().get();
+  };
+  // On a new connection, on a kept one, and after both.
+  refuses = true;
+  CHECK(KindOf(send()) == error_kind::kDraining);
+  refuses = false;
+  CHECK(send().index() == 0);
+  refuses = true;
+  CHECK(KindOf(send()) == error_kind::kDraining);
+  refuses = false;
+  CHECK(send().index() == 0);
+  CHECK(received == 2);
+}
+
 // Guards against incomplete responses that are accepted, and against an error kind that says "not
 // run" although the request was sent.
 TEST_CASE("faulty responses map to their error kinds") {
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "common/result.h"
 #include "common/types.h"
 
 namespace teaseljunction {
@@ -37,6 +40,9 @@
   /// True if the request is sent on a new connection that no other request uses; not used for
   /// received requests.
   bool own_connection = false;
+  /// Called on a thread of the client when the connection is ready and nothing has been sent. An
+  /// error ends the request with this error. Optional; not used for received requests.
+  std::function<absl::optional<error>()> before_send;
 };
 
 /// A complete HTTP response, to be sent or received.
--- a/src/membership/target_lease.h
+++ b/src/membership/target_lease.h
@@ -12,6 +12,9 @@
 /// Time for which an announcement of a target or a heartbeat of a daemon is valid.
 constexpr absl::Duration kMembershipLease = absl::Seconds(3);
 
+/// Time for which a target goes on serving after it has announced that it is draining.
+constexpr absl::Duration kTargetDrainTime = absl::Seconds(2);
+
 /// Result of a target's announcement.
 enum class announce_result : uint8_t {
   /// There was no target before.
