Limit the memory of all answers and messages that are being received

What callers saw: other operators report that a faulty upstream sent bytes without end, which the machine that had called it kept until it ran out of memory.

Cause: each answer was limited (1 MiB of body, 64 KiB of head), and so was each message of a daemon (16 MiB), but not the sum. The queue of messages of control members was limited to 256 MiB, the memory of a whole process.

The RPC server and client limit the large messages that are incomplete. The queue of messages of control members holds 32 MiB.

--- a/src/control/internal/control_member.cc
+++ b/src/control/internal/control_member.cc
@@ -19,7 +19,7 @@
 // Bounds of the queues. Messages above them are dropped, which Raft tolerates; proposals are
 // refused.
 constexpr size_t kMaxQueuedMessages = 4096;
-constexpr size_t kMaxQueuedMessageBytes = 256 * 1024 * 1024;
+constexpr size_t kMaxQueuedMessageBytes = 32 * 1024 * 1024;
 constexpr size_t kMaxQueuedProposals = 10'000;
 constexpr size_t kMaxQueuedProposalBytes = 64 * 1024 * 1024;
 // Largest number of messages, and of proposals, in a batch. Bounds the delay of heartbeats.
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -158,6 +158,7 @@
       client_(curl_client_builder()
                   .Threads(settings_.client_threads)
                   .Loop(LoopFor(settings_.client_threads))
+                  .MaxBufferedBytes(settings_.max_answer_memory)
                   .MaxIdle(settings_.target_idle_timeout, settings_.at_most_once_idle_timeout)
                   .Build()),
       locator_(settings_.control_peers),
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -48,6 +48,9 @@
 ABSL_FLAG(absl::Duration, target_drain_time, teaseljunction::kTargetDrainTime,
           "time for which a target serves after announcing that it is draining, 100ms to 600s");
 ABSL_FLAG(uint64_t, max_body_bytes, 1 << 20, "largest body of a request, 1 to 67108864 bytes");
+ABSL_FLAG(
+    uint64_t, max_answer_memory, 32 << 20,
+    "memory for all answers of the target that are being received, 4194304 to 1073741824 bytes");
 ABSL_FLAG(std::string, log_file, "", "file for the log; empty for the standard output");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
@@ -59,6 +62,8 @@
 constexpr uint32_t kMaxVoters = 9;
 constexpr uint32_t kMaxCopies = 5;
 constexpr uint64_t kMaxBodyBytes = 64 << 20;
+constexpr uint64_t kMinAnswerMemory = 4 << 20;
+constexpr uint64_t kMaxAnswerMemory = 1 << 30;
 constexpr size_t kMaxNameBytes = 64;
 // Flags that can also be set by environment variables.
 constexpr absl::string_view kFlagNames[] = {"listen",
@@ -77,6 +82,7 @@
                                             "rpc_threads",
                                             "client_threads",
                                             "max_body_bytes",
+                                            "max_answer_memory",
                                             "log_file",
                                             "log_level",
                                             "control_voters",
@@ -172,6 +178,9 @@
       ValidateDuration(settings.target_lease, absl::Seconds(1), absl::Seconds(60), "target_lease"));
   BOOST_LEAF_CHECK(ValidateDuration(settings.target_drain_time, absl::Milliseconds(100),
                                     absl::Seconds(600), "target_drain_time"));
+  BOOST_LEAF_CHECK(Require(settings.max_answer_memory >= kMinAnswerMemory &&
+                               settings.max_answer_memory <= kMaxAnswerMemory,
+                           "max_answer_memory", "must be from 4194304 to 1073741824."));
   return Require(settings.max_body_bytes >= 1 && settings.max_body_bytes <= kMaxBodyBytes,
                  "max_body_bytes", "must be from 1 to 67108864.");
 }
@@ -200,6 +209,7 @@
   settings.rpc_threads = absl::GetFlag(FLAGS_rpc_threads);
   settings.client_threads = absl::GetFlag(FLAGS_client_threads);
   settings.max_body_bytes = absl::GetFlag(FLAGS_max_body_bytes);
+  settings.max_answer_memory = absl::GetFlag(FLAGS_max_answer_memory);
   settings.log = {absl::GetFlag(FLAGS_log_file), absl::GetFlag(FLAGS_log_level)};
   return settings;
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -56,6 +56,8 @@
   absl::Duration target_lease = absl::Seconds(3);
   /// Time for which a target goes on serving after it has announced that it is draining.
   absl::Duration target_drain_time = kTargetDrainTime;
+  /// Limit of the memory for all answers of the target that are being received, in bytes.
+  uint64_t max_answer_memory = uint64_t{32} << 20;
   /// Probed when the daemon starts, so that a restarted daemon can use the target before its next
   /// announcement.
   local_target_settings local_target;
--- a/src/http/curl_client.h
+++ b/src/http/curl_client.h
@@ -23,6 +23,9 @@
   size_t max_response_bytes = size_t{1} << 20;
   /// Maximum connections of one thread, or of the loop, to one address. Further requests wait.
   unsigned max_connections_per_host = 256;
+  /// Limit of the memory for all responses that are being received. Above it, the requests with the
+  /// largest responses fail.
+  size_t max_buffered_bytes = size_t{32} << 20;
   absl::Duration connect_timeout = absl::Milliseconds(500);
   /// Connections that were idle for longer are not reused, because servers often close them just as
   /// the next request is sent.
@@ -41,6 +44,7 @@
 /// Content-Length nor chunked encoding, is kTargetFailed too, unless the request allows it.
 /// The connection of a response that lacks the expected echo is closed, and so is a kept connection
 /// with unread input; the request is then sent on a new one.
+/// Responses are limited in size each, and in memory all together.
 class curl_client : public http_client {
  public:
   /// Completes all running requests with kCancelled.
@@ -51,9 +55,12 @@
                 absl::AnyInvocable<void(outcome<http_response>)> completion) override;
   void Cancel(uint64_t id) override;
 
+  /// Returns the memory that the responses of running requests take, in bytes.
+  size_t BufferedBytes() const;
+
  private:
   friend class curl_client_builder;
-  explicit curl_client(const curl_client_settings& settings);
+  explicit curl_client(curl_client_settings settings);
 
   std::vector<std::unique_ptr<curl_worker>> workers_;
   std::atomic<uint64_t> next_id_ = 0;
@@ -68,6 +75,7 @@
   curl_client_builder& Loop(event_loop* loop);
   curl_client_builder& MaxResponseBytes(size_t bytes);
   curl_client_builder& MaxConnectionsPerHost(unsigned connections);
+  curl_client_builder& MaxBufferedBytes(size_t bytes);
   curl_client_builder& ConnectTimeout(absl::Duration timeout);
   /// `at_most_once` applies to requests that are sent at most once.
   curl_client_builder& MaxIdle(absl::Duration max_idle_time, absl::Duration at_most_once);
--- a/src/http/internal/curl_client.cc
+++ b/src/http/internal/curl_client.cc
@@ -19,13 +19,15 @@
 
 }  // namespace
 
-curl_client::curl_client(const curl_client_settings& settings) {
+curl_client::curl_client(curl_client_settings settings) {
   InitialiseCurl();
   if (settings.loop != nullptr) {
     workers_.push_back(std::make_unique<curl_loop_worker>(*settings.loop, settings));
     return;
   }
-  for (unsigned i = 0; i < std::max(settings.threads, 1U); ++i) {
+  const unsigned threads = std::max(settings.threads, 1U);
+  settings.max_buffered_bytes /= threads;
+  for (unsigned i = 0; i < threads; ++i) {
     workers_.push_back(std::make_unique<curl_thread_worker>(settings));
   }
 }
@@ -43,6 +45,12 @@
   return id;
 }
 
+size_t curl_client::BufferedBytes() const {
+  size_t bytes = 0;
+  for (const auto& worker : workers_) bytes += worker->HeldBytes();
+  return bytes;
+}
+
 void curl_client::Cancel(uint64_t id) { workers_[id % workers_.size()]->Cancel(id); }
 
 curl_client_builder& curl_client_builder::Threads(unsigned threads) {
@@ -65,6 +73,11 @@
   return *this;
 }
 
+curl_client_builder& curl_client_builder::MaxBufferedBytes(size_t bytes) {
+  settings_.max_buffered_bytes = bytes;
+  return *this;
+}
+
 curl_client_builder& curl_client_builder::ConnectTimeout(absl::Duration timeout) {
   settings_.connect_timeout = timeout;
   return *this;
--- a/src/http/internal/curl_loop_worker.cc
+++ b/src/http/internal/curl_loop_worker.cc
@@ -130,8 +130,8 @@
       if ((ready & (EPOLLERR | EPOLLHUP)) != 0) bits |= CURL_CSELECT_IN | CURL_CSELECT_ERR;
       int running = 0;
       curl_multi_socket_action(transfers_->multi(), events[i].data.fd, bits, &running);
+      transfers_->FinishCompleted();
     }
-    transfers_->FinishCompleted();
   } while (system_clock_source().Now() < turn_end);
   if (std::exchange(sockets_posted_, true)) return;
   loop_.Post([this, alive = alive_] {
--- a/src/http/internal/curl_loop_worker.h
+++ b/src/http/internal/curl_loop_worker.h
@@ -19,6 +19,7 @@
 
   void Send(std::unique_ptr<curl_transfer> transfer) override;
   void Cancel(uint64_t id) override;
+  size_t HeldBytes() const override { return transfers_->HeldBytes(); }
 
  private:
   static int OnSocket(CURL* easy, curl_socket_t socket, int poll_events, void* self,
--- a/src/http/internal/curl_thread_worker.h
+++ b/src/http/internal/curl_thread_worker.h
@@ -20,6 +20,7 @@
 
   void Send(std::unique_ptr<curl_transfer> transfer) override;
   void Cancel(uint64_t id) override;
+  size_t HeldBytes() const override { return transfers_.HeldBytes(); }
 
  private:
   /// A request to start, or the id of one to cancel.
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -19,6 +19,8 @@
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
 /// Memory that a header takes in addition to its line, which counts towards the limit.
 constexpr size_t kHeaderOverheadBytes = 64;
+/// Largest part of a body for which memory is reserved before it arrives.
+constexpr size_t kMaxReservedBytes = size_t{16} << 10;
 
 bool IsToken(absl::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
@@ -47,6 +49,21 @@
       request_(std::move(request)),
       done_(std::move(done)) {}
 
+curl_transfer::~curl_transfer() {
+  if (memory_ == nullptr) return;
+  memory_->Change(held_bytes_, 0);
+  memory_->RemoveResponse();
+}
+
+bool curl_transfer::UpdateHeldBytes() {
+  // libcurl keeps a copy of each header line.
+  const size_t bytes = 2 * header_bytes_ + response_.body.capacity();
+  memory_->Change(held_bytes_, bytes);
+  held_bytes_ = bytes;
+  response_too_large_ = response_too_large_ || memory_->IsShareExceeded(bytes);
+  return !response_too_large_;
+}
+
 bool curl_transfer::IsWellFormed() const {
   const std::string& path = request_.path;
   if (!IsToken(request_.method) || path.empty() || path[0] != '/') return false;
@@ -57,9 +74,11 @@
 }
 
 void curl_transfer::Prepare(curl_easy_handle easy, const curl_client_settings& settings,
-                            connection_sockets& sockets) {
+                            connection_sockets& sockets, response_memory& memory) {
   easy_ = std::move(easy);
   sockets_ = &sockets;
+  // A restarted transfer is counted already.
+  if (std::exchange(memory_, &memory) == nullptr) memory.AddResponse();
   curl_easy_reset(easy_.get());
   SetRequest();
   SetHeaders();
@@ -179,6 +198,7 @@
     response_too_large_ = true;
     return false;
   }
+  if (!UpdateHeldBytes()) return false;
   if (absl::StartsWith(line, "HTTP/")) {
     // Discard the headers of an interim (1xx) response.
     response_.headers.clear();
@@ -206,7 +226,9 @@
     if (request_.method != "HEAD") {
       response_too_large_ = length > max_response_bytes_;
       if (response_too_large_) return false;
-      response_.body.reserve(length);
+      // A length that is only announced must not take much memory.
+      response_.body.reserve(std::min<uint64_t>(length, kMaxReservedBytes));
+      if (!UpdateHeldBytes()) return false;
     }
   }
   if (absl::EqualsIgnoreCase(name, "Transfer-Encoding") &&
@@ -236,7 +258,7 @@
     return 0;
   }
   transfer->response_.body.append(data, bytes);
-  return bytes;
+  return transfer->UpdateHeldBytes() ? bytes : 0;
 }
 
 absl::string_view curl_transfer::MismatchDetail() const {
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -14,6 +14,7 @@
 #include "common/result.h"
 #include "http/curl_client.h"
 #include "http/internal/connection_sockets.h"
+#include "http/internal/response_memory.h"
 #include "http/types.h"
 
 namespace teaseljunction {
@@ -34,6 +35,9 @@
 
   curl_transfer(uint64_t id, absl::string_view address, http_request request, bool at_most_once,
                 absl::Time deadline, completion done);
+  ~curl_transfer();
+  curl_transfer(const curl_transfer&) = delete;
+  curl_transfer& operator=(const curl_transfer&) = delete;
 
   uint64_t id() const { return id_; }
   CURL* easy() const { return easy_.get(); }
@@ -41,10 +45,13 @@
   /// Returns true if the request can be written as a valid HTTP message.
   bool IsWellFormed() const;
 
-  /// Configures `easy` for this request. Called on the worker's thread. `sockets` must outlive the
-  /// transfer.
+  /// Configures `easy` for this request. Called on the worker's thread. `sockets` and `memory` must
+  /// outlive the transfer.
   void Prepare(curl_easy_handle easy, const curl_client_settings& settings,
-               connection_sockets& sockets);
+               connection_sockets& sockets, response_memory& memory);
+
+  /// Returns the memory that the response takes, in bytes.
+  size_t HeldBytes() const { return held_bytes_; }
 
   /// Returns true once if nothing was sent because the kept connection is out of sync. The transfer
   /// can then be prepared again and uses a new connection.
@@ -71,6 +78,8 @@
   /// Records whether the response names this request. The connection is kept only if it does.
   void SetEchoMatched(bool matched);
   bool ReadHeader(absl::string_view line);
+  /// Accounts for the memory of the response. Returns false if it must not grow any more.
+  bool UpdateHeldBytes();
   /// Returns why the response is not the expected one, or an empty string.
   absl::string_view MismatchDetail() const;
   /// Returns true if no other request was sent on the connection before.
@@ -94,6 +103,8 @@
   /// Number of times that libcurl has started to send the request.
   int send_count_ = 0;
   connection_sockets* sockets_ = nullptr;
+  response_memory* memory_ = nullptr;
+  size_t held_bytes_ = 0;
   /// Socket of the new connection that was opened for this transfer.
   curl_socket_t new_socket_ = CURL_SOCKET_BAD;
   bool restart_ = false;
--- a/src/http/internal/curl_worker.h
+++ b/src/http/internal/curl_worker.h
@@ -15,6 +15,9 @@
 
   virtual void Send(std::unique_ptr<curl_transfer> transfer) = 0;
   virtual void Cancel(uint64_t id) = 0;
+
+  /// Returns the memory that the responses of running transfers take, in bytes.
+  virtual size_t HeldBytes() const = 0;
 };
 
 }  // namespace teaseljunction
--- a/src/http/internal/transfer_set.cc
+++ b/src/http/internal/transfer_set.cc
@@ -1,5 +1,6 @@
 #include "http/internal/transfer_set.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teaseljunction {
@@ -11,7 +12,7 @@
 }  // namespace
 
 transfer_set::transfer_set(const curl_client_settings& settings)
-    : settings_(settings), multi_(curl_multi_init()) {
+    : settings_(settings), memory_(settings.max_buffered_bytes), multi_(curl_multi_init()) {
   const long connections = settings_.max_connections_per_host;
   curl_multi_setopt(multi_.get(), CURLMOPT_MAX_HOST_CONNECTIONS, connections);
   curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS, connections);
@@ -38,7 +39,7 @@
     transfer->Fail(error_kind::kTargetUnreachable, "no handle");
     return;
   }
-  transfer->Prepare(std::move(easy), settings_, sockets_);
+  transfer->Prepare(std::move(easy), settings_, sockets_, memory_);
   if (curl_multi_add_handle(multi_.get(), transfer->easy()) != CURLM_OK) {
     transfer->Fail(error_kind::kTargetUnreachable, "no handle");
     return;
@@ -69,6 +70,17 @@
     transfer->Finish(code);
     Recycle(*transfer);
   }
+  while (memory_.IsExceeded() && !running_.empty()) EndLargestTransfer();
+}
+
+void transfer_set::EndLargestTransfer() {
+  const auto largest =
+      std::max_element(running_.begin(), running_.end(), [](const auto& left, const auto& right) {
+        return left.second->HeldBytes() < right.second->HeldBytes();
+      });
+  const std::unique_ptr<curl_transfer> ended = Remove(largest->first);
+  ended->Fail(error_kind::kAnswerTooLarge, "the memory for responses is used up");
+  Recycle(*ended);
 }
 
 void transfer_set::CancelAll() {
--- a/src/http/internal/transfer_set.h
+++ b/src/http/internal/transfer_set.h
@@ -28,8 +28,13 @@
   void Start(std::unique_ptr<curl_transfer> transfer);
   /// Completes a running transfer with kCancelled. Unknown ids are ignored.
   void Cancel(uint64_t id);
-  /// Runs the completions of the transfers that libcurl reports as done.
+  /// Runs the completions of the transfers that libcurl reports as done. Ends the transfers with
+  /// the largest responses with kAnswerTooLarge while the responses together take too much memory.
+  /// Must be called after each action of libcurl.
   void FinishCompleted();
+  /// Returns the memory that the responses of running transfers take, in bytes. May be called by
+  /// any thread.
+  size_t HeldBytes() const { return memory_.HeldBytes(); }
   /// Completes all transfers with kCancelled.
   void CancelAll();
 
@@ -39,9 +44,11 @@
   // Sends the request of a transfer, or completes it with an error.
   void Launch(std::unique_ptr<curl_transfer> transfer, curl_easy_handle easy);
   void Recycle(curl_transfer& transfer);
+  void EndLargestTransfer();
 
   const curl_client_settings settings_;
   connection_sockets sockets_;
+  response_memory memory_;
   const std::unique_ptr<CURLM, curl_multi_deleter> multi_;
   absl::flat_hash_map<uint64_t, std::unique_ptr<curl_transfer>> running_;
   std::vector<curl_easy_handle> idle_handles_;
--- a/src/http/tests/faulty_server_test.cc
+++ b/src/http/tests/faulty_server_test.cc
@@ -375,6 +375,65 @@
   for (auto& stream : streams) CHECK(MayHaveRun(stream.get()));
 }
 
+// Guards against many answers, each within the limit of one, that together take the memory of the
+// process (issue 33, the operators' report).
+TEST_CASE("the memory for many answers at once is limited") {
+  constexpr int kCalls = 60;
+  constexpr size_t kMemory = size_t{4} << 20;
+  constexpr size_t kMaxAnswer = size_t{1} << 20;
+  constexpr size_t kSentBytes = 900'000;
+  const std::string head = absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks);
+  const std::vector<endless_case> cases = {
+      {"body", absl::StrCat(head, "Content-Length: 1000000\r\n\r\n"), "x"},
+      {"body without a length", head + "\r\n", "x"},
+      {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+      {"header lines", head, "A: b\r\n"},
+      {"interim heads", "", "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n"},
+      {"trailer lines", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+  };
+  curl_client_builder builder = Builder();
+  for (const endless_case& tested : cases) {
+    INFO(tested.name);
+    raw_server endless([&](raw_socket& connection) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Write(tested.start);
+      connection.Write(Repeat(tested.repeated, kSentBytes));
+      // Neither ends nor closes.
+      connection.ReadUntil("\r\n\r\n");
+    });
+    // Smaller than an equal share of the memory.
+    const std::string body(20'000, 'y');
+    raw_server other([&](raw_socket& connection) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, "Content-Length: ", body.size(),
+                                    "\r\n\r\n", body));
+    });
+    const auto client =
+        builder.Threads(1).MaxBufferedBytes(kMemory).MaxResponseBytes(kMaxAnswer).Build();
+    const answer_case request = {"", "GET", "", false};
+    std::vector<std::future<http_outcome>> calls;
+    calls.reserve(kCalls);
+    for (int i = 0; i < kCalls; ++i) {
+      calls.push_back(SendAsync(*client, endless.address(), RequestFor(request, 1, true, true),
+                                false, absl::Seconds(1)));
+    }
+    size_t largest = 0;
+    size_t ended = 0;
+    while (ended < calls.size()) {
+      const http_outcome unharmed =
+          SendAsync(*client, other.address(), RequestFor(request, 1, true, true)).get();
+      CHECK(Describe(unharmed) == absl::StrCat("200 with ", body.size(), " bytes"));
+      largest = std::max(largest, client->BufferedBytes());
+      ended = static_cast<size_t>(std::count_if(calls.begin(), calls.end(), [](auto& call) {
+        return call.wait_for(std::chrono::milliseconds(1)) == std::future_status::ready;
+      }));
+    }
+    for (auto& call : calls) CHECK(MayHaveRun(call.get()));
+    // In one turn of the client, each answer can grow to its share before one is given up.
+    CHECK(largest <= 2 * kMemory + kMaxAnswer);
+  }
+}
+
 // Guards against slow bytes without end that hold a call beyond its deadline.
 TEST_CASE("a slow answer without end ends at the deadline") {
   std::vector<std::unique_ptr<raw_server>> servers;
--- a/src/rpc/internal/buffered_stream.cc
+++ b/src/rpc/internal/buffered_stream.cc
@@ -1,5 +1,7 @@
 #include "rpc/internal/buffered_stream.h"
 
+#include <kj/debug.h>
+
 #include <algorithm>
 #include <cstring>
 
@@ -23,8 +25,12 @@
   // Large reads bypass the buffer and go directly to the destination.
   const size_t missing = min_bytes - bytes_read;
   if (missing >= kBufferBytes) {
+    if (!memory_.Reserve(missing)) {
+      return KJ_EXCEPTION(OVERLOADED, "too much memory is used for messages that are incomplete");
+    }
     return inner_->tryRead(out + bytes_read, missing, max_bytes - bytes_read)
-        .then([bytes_read](size_t read) { return bytes_read + read; });
+        .then([bytes_read](size_t read) { return bytes_read + read; })
+        .attach(kj::defer([&memory = memory_, missing] { memory.Release(missing); }));
   }
   return inner_->tryRead(buffer_.data(), 1, kBufferBytes)
       .then([this, out, bytes_read, min_bytes, max_bytes](size_t read) -> kj::Promise<size_t> {
--- a/src/rpc/internal/buffered_stream.h
+++ b/src/rpc/internal/buffered_stream.h
@@ -4,13 +4,18 @@
 
 #include <array>
 
+#include "rpc/internal/message_memory.h"
+
 namespace teaseljunction {
 
 /// Stream with a read buffer. The RPC system reads each message in several parts, each of which
-/// would otherwise be a system call.
+/// would otherwise be a system call. The read of a large message fails if too many of them are
+/// being received already.
 class buffered_stream final : public kj::AsyncIoStream {
  public:
-  explicit buffered_stream(kj::Own<kj::AsyncIoStream> inner) : inner_(kj::mv(inner)) {}
+  /// `memory` must outlive the stream.
+  buffered_stream(kj::Own<kj::AsyncIoStream> inner, message_memory& memory)
+      : inner_(kj::mv(inner)), memory_(memory) {}
 
   // NOLINTBEGIN(readability-identifier-naming): names of the KJ interface.
   kj::Promise<size_t> tryRead(void* buffer, size_t min_bytes, size_t max_bytes) override;
@@ -47,6 +52,7 @@
                                     size_t max_bytes);
 
   kj::Own<kj::AsyncIoStream> inner_;
+  message_memory& memory_;
   std::array<kj::byte, kBufferBytes> buffer_;
   size_t begin_ = 0;
   size_t end_ = 0;
--- a/src/rpc/internal/client_connections.cc
+++ b/src/rpc/internal/client_connections.cc
@@ -30,8 +30,9 @@
 }  // namespace
 
 peer_connection::peer_connection(kj::Own<kj::AsyncIoStream> connected, capnp::ReaderOptions limits,
-                                 const std::string& address, log_limiter& limiter)
-    : stream(kj::heap<buffered_stream>(kj::mv(connected))),
+                                 message_memory& receiving, const std::string& address,
+                                 log_limiter& limiter)
+    : stream(kj::heap<buffered_stream>(kj::mv(connected), receiving)),
       messages(*stream, address, limiter),
       network(messages, capnp::rpc::twoparty::Side::CLIENT, limits),
       rpc(capnp::makeRpcClient(network)),
@@ -40,7 +41,11 @@
 client_connections::client_connections(kj::AsyncIoContext& io,
                                        const rpc_peer_client_settings& settings,
                                        log_limiter& limiter)
-    : io_(io), settings_(settings), limiter_(limiter), tasks_(*this) {
+    : io_(io),
+      settings_(settings),
+      limiter_(limiter),
+      receiving_(settings.max_receiving_bytes),
+      tasks_(*this) {
   tasks_.add(CloseIdleConnections());
 }
 
@@ -181,8 +186,9 @@
 }
 
 void client_connections::OnConnected(peer_state& peer, kj::Own<kj::AsyncIoStream> stream) {
-  peer.connection = kj::heap<peer_connection>(
-      kj::mv(stream), MessageLimits(settings_.max_message_bytes), peer.address, limiter_);
+  peer.connection =
+      kj::heap<peer_connection>(kj::mv(stream), MessageLimits(settings_.max_message_bytes),
+                                receiving_, peer.address, limiter_);
   peer.state = peer_state::connection_state::kConnected;
   peer.backoff = absl::ZeroDuration();
   const peer_connection* new_connection = peer.connection.get();
--- a/src/rpc/internal/client_connections.h
+++ b/src/rpc/internal/client_connections.h
@@ -9,6 +9,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "common/log_limiter.h"
 #include "rpc/internal/kj_support.h"
+#include "rpc/internal/message_memory.h"
 #include "rpc/internal/pending_call.h"
 #include "rpc/rpc_peer_client.h"
 
@@ -17,7 +18,7 @@
 /// An open connection to a peer, with its RPC system and bootstrap capability.
 struct peer_connection {
   peer_connection(kj::Own<kj::AsyncIoStream> connected, capnp::ReaderOptions limits,
-                  const std::string& address, log_limiter& limiter);
+                  message_memory& receiving, const std::string& address, log_limiter& limiter);
 
   kj::Own<kj::AsyncIoStream> stream;
   logging_message_stream messages;
@@ -84,6 +85,7 @@
   kj::AsyncIoContext& io_;
   const rpc_peer_client_settings& settings_;
   log_limiter& limiter_;
+  message_memory receiving_;
   const system_clock_source clock_;
   bool stopping_ = false;
   absl::flat_hash_map<std::string, std::shared_ptr<peer_state>> peers_;
--- a/src/rpc/internal/rpc_peer_client.cc
+++ b/src/rpc/internal/rpc_peer_client.cc
@@ -111,6 +111,11 @@
   return *this;
 }
 
+rpc_peer_client_builder& rpc_peer_client_builder::MaxReceivingBytes(size_t bytes) {
+  settings_.max_receiving_bytes = bytes;
+  return *this;
+}
+
 rpc_peer_client_builder& rpc_peer_client_builder::MaxMessageBytes(size_t bytes) {
   settings_.max_message_bytes = bytes;
   return *this;
--- a/src/rpc/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -137,6 +137,11 @@
   return *this;
 }
 
+rpc_server_builder& rpc_server_builder::MaxReceivingBytes(size_t bytes) {
+  settings_.max_receiving_bytes = bytes;
+  return *this;
+}
+
 rpc_server_builder& rpc_server_builder::MaxConnections(unsigned connections) {
   settings_.max_connections = connections;
   return *this;
--- a/src/rpc/internal/server_connections.cc
+++ b/src/rpc/internal/server_connections.cc
@@ -13,8 +13,8 @@
 /// An accepted connection with its RPC system.
 struct server_connection {
   server_connection(kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client node,
-                    capnp::ReaderOptions limits, log_limiter& limiter)
-      : stream(kj::heap<buffered_stream>(kj::mv(accepted))),
+                    capnp::ReaderOptions limits, message_memory& receiving, log_limiter& limiter)
+      : stream(kj::heap<buffered_stream>(kj::mv(accepted), receiving)),
         messages(*stream, PeerAddress(*stream), limiter),
         network(messages, capnp::rpc::twoparty::Side::SERVER, limits),
         rpc(capnp::makeRpcServer(network, kj::mv(node))) {}
@@ -33,6 +33,7 @@
     : io_(io),
       settings_(settings),
       limiter_(limiter),
+      receiving_(settings.max_receiving_bytes),
       node_(kj::heap<node_impl>(service, calls)),
       listener_(io.lowLevelProvider->wrapListenSocketFd(
           listen_fd, kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP |
@@ -69,7 +70,7 @@
     SetSocketOptions(*fd);
   }
   auto connection = kj::heap<server_connection>(
-      kj::mv(stream), node_, MessageLimits(settings_.max_message_bytes), limiter_);
+      kj::mv(stream), node_, MessageLimits(settings_.max_message_bytes), receiving_, limiter_);
   capnp::TwoPartyVatNetwork* network = &connection->network;
   open_networks_.insert(network);
   kj::Promise<void> closed = network->onDisconnect();
--- a/src/rpc/internal/server_connections.h
+++ b/src/rpc/internal/server_connections.h
@@ -7,6 +7,7 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "common/log_limiter.h"
+#include "rpc/internal/message_memory.h"
 #include "rpc/internal/node_impl.h"
 #include "rpc/rpc_server.h"
 
@@ -40,6 +41,7 @@
   kj::AsyncIoContext& io_;
   const rpc_server_settings& settings_;
   log_limiter& limiter_;
+  message_memory receiving_;
   wire::Node::Client node_;
   kj::Own<kj::ConnectionReceiver> listener_;
   absl::flat_hash_set<capnp::TwoPartyVatNetwork*> open_networks_;
--- a/src/rpc/rpc_peer_client.h
+++ b/src/rpc/rpc_peer_client.h
@@ -27,6 +27,9 @@
   absl::Duration idle_timeout = absl::Minutes(1);
   /// Maximum size of a received message. A larger one closes its connection.
   size_t max_message_bytes = size_t{16} << 20;
+  /// Limit of the memory for all large messages that one thread, or the loop, is receiving. A
+  /// message beyond it closes its connection.
+  size_t max_receiving_bytes = size_t{64} << 20;
 };
 
 class client_worker;
@@ -76,6 +79,7 @@
   rpc_peer_client_builder& ConnectTimeout(absl::Duration timeout);
   rpc_peer_client_builder& IdleTimeout(absl::Duration timeout);
   rpc_peer_client_builder& MaxMessageBytes(size_t bytes);
+  rpc_peer_client_builder& MaxReceivingBytes(size_t bytes);
 
   std::unique_ptr<rpc_peer_client> Build() const;
 
--- a/src/rpc/rpc_server.h
+++ b/src/rpc/rpc_server.h
@@ -24,6 +24,9 @@
   event_loop* loop = nullptr;
   /// Maximum size of a received message. A larger one closes its connection.
   size_t max_message_bytes = size_t{16} << 20;
+  /// Limit of the memory for all large messages that one thread, or the loop, is receiving. A
+  /// message beyond it closes its connection.
+  size_t max_receiving_bytes = size_t{64} << 20;
   /// Maximum number of open connections per thread. Further connections are closed at once.
   unsigned max_connections = 4096;
 };
@@ -69,6 +72,7 @@
   /// server.
   rpc_server_builder& Loop(event_loop* loop);
   rpc_server_builder& MaxMessageBytes(size_t bytes);
+  rpc_server_builder& MaxReceivingBytes(size_t bytes);
   rpc_server_builder& MaxConnections(unsigned connections);
   /// Sets the service that handles the calls. It must outlive the server.
   rpc_server_builder& Service(node_service* service);
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -2,9 +2,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <cerrno>
+#include <cstring>
 #include <functional>
 #include <future>
 #include <stdexcept>
@@ -97,14 +100,16 @@
 
 /// A started server, on its own threads and on an event loop in turn.
 struct running_server {
-  explicit running_server(const std::string& listen = "127.0.0.1:0") {
+  explicit running_server(const std::string& listen = "127.0.0.1:0",
+                          size_t max_receiving_bytes = size_t{64} << 20, unsigned threads = 2) {
     const bool on_loop = GENERATE(false, true);
     if (on_loop) loop = std::make_unique<event_loop>(clock);
     server = rpc_server_builder()
                  .Address(listen)
-                 .Threads(2)
+                 .Threads(threads)
                  .Loop(loop.get())
                  .MaxMessageBytes(4 << 20)
+                 .MaxReceivingBytes(max_receiving_bytes)
                  .Service(&service)
                  .Build();
     const auto started = Capture<uint16_t>([&] { return server->Start(); });
@@ -385,6 +390,52 @@
   CHECK(BodyOf(Execute(*client, running.address, "/")) == "body");
 }
 
+// Guards against large messages that never end on many connections and together take the memory of
+// the process (issue 33, the operators' report).
+TEST_CASE("the memory for incomplete messages is limited") {
+  constexpr size_t kMemory = size_t{1} << 20;
+  constexpr size_t kMessageBytes = kMemory / 4;
+  constexpr size_t kFittingMessages = 4;
+  running_server running("127.0.0.1:0", kMemory, 1);
+  // The head of a message with a single segment, and a part of the segment.
+  std::string start(8, '\0');
+  const uint32_t words = kMessageBytes / 8;
+  std::memcpy(start.data() + 4, &words, sizeof(words));
+  start.append(kMessageBytes / 2, '\0');
+  std::vector<int> connections;
+  const auto connect_and_send = [&] {
+    const auto target =
+        Capture<socket_address>([&] { return ParseSocketAddress(running.address); });
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(connect(fd, std::get<0>(target).get(), std::get<0>(target).length) == 0);
+    REQUIRE(send(fd, start.data(), start.size(), MSG_NOSIGNAL) > 0);
+    connections.push_back(fd);
+  };
+  const auto is_open = [](int fd) {
+    std::array<char, 1> byte;
+    return recv(fd, byte.data(), byte.size(), MSG_DONTWAIT | MSG_PEEK) < 0 && errno == EAGAIN;
+  };
+  const auto count_open = [&] {
+    return static_cast<size_t>(std::count_if(connections.begin(), connections.end(), is_open));
+  };
+  for (size_t i = 0; i < 3 * kFittingMessages; ++i) connect_and_send();
+  const absl::Time limit = absl::Now() + kLongTimeout;
+  while (count_open() > kFittingMessages && absl::Now() < limit) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  CHECK(count_open() == kFittingMessages);
+  const auto client = MakeClient();
+  CHECK(BodyOf(Execute(*client, running.address, "/")) == "body");
+  // The memory of messages that are given up is free again.
+  for (const int fd : connections) close(fd);
+  const std::string body(kMessageBytes, 'b');
+  bool answered = false;
+  while (!answered && absl::Now() < limit) {
+    answered = Execute(*client, running.address, "/", kLongTimeout, body).answer.index() == 0;
+  }
+  CHECK(answered);
+}
+
 // Guards against a drain that aborts a running call.
 TEST_CASE("drain waits for running calls") {
   running_server running;
