Keep a leader that removes itself until its removal is committed

By reading, not seen to fail, and without a test of its own: a draining leader lists the group without itself as soon as it has proposed its removal, so it could leave before the change was committed. It now waits for that, too. The tests of the daemon share one function that waits for a condition.

--- a/src/control/tests/group_failure_test.cc
+++ b/src/control/tests/group_failure_test.cc
@@ -307,24 +307,26 @@
   run.CheckRecovery();
 }
 
+// Loses as many disks as the group must bear while the replaced members may still count as lost.
+void LoseDisksBesideReplaced(replacement_run& run) {
+  run.Group().Run(run.Case().loss_after);
+  const bool caught_up = run.Case().loss_after >= kCatchUpTime;
+  run.LoseDisks(run.Case().tolerated - (caught_up ? 0 : run.Case().replaced));
+  run.CheckRecovery();
+}
+
 // The old members end without notice as their successors start. They count as lost until these have
 // caught up.
 void ReplacementWithoutNotice(replacement_run& run) {
   run.LoseReplaced();
   run.StartSuccessors();
-  run.Group().Run(run.Case().loss_after);
-  const bool caught_up = run.Case().loss_after >= kCatchUpTime;
-  run.LoseDisks(run.Case().tolerated - (caught_up ? 0 : run.Case().replaced));
-  run.CheckRecovery();
+  LoseDisksBesideReplaced(run);
 }
 
 // Members restart with empty disks. They count as lost until they have caught up.
 void ReplacementOfDisks(replacement_run& run) {
   run.EraseReplaced();
-  run.Group().Run(run.Case().loss_after);
-  const bool caught_up = run.Case().loss_after >= kCatchUpTime;
-  run.LoseDisks(run.Case().tolerated - (caught_up ? 0 : run.Case().replaced));
-  run.CheckRecovery();
+  LoseDisksBesideReplaced(run);
 }
 
 // One of the successors ends for good during the shutdown of the old members, and counts as lost.
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -93,11 +93,11 @@
   void WaitForStop();
   bool Drain();
   bool WaitUntilIdle(absl::Time deadline);
-  // Waits while the control group needs this member although a successor is there. Without a
+  // Waits until another member has taken the place of this one in the control group. Without a
   // successor the member leaves at once, since the group then loses it in any case.
   void WaitUntilReplaced(absl::Time deadline);
-  // True if this member is a voter and the group has a member that could take its place.
-  bool HasSuccessor() const;
+  // True while the group counts this member and has another one that could take its place.
+  bool IsBeingReplaced() const;
   // Drains all listeners except that for callers at the same time, because each may wait for
   // clients that do not read.
   void DrainOtherListeners();
@@ -335,8 +335,13 @@
   return false;
 }
 
-bool daemon_process_impl::HasSuccessor() const {
+bool daemon_process_impl::IsBeingReplaced() const {
+  // A member that has been removed from the group receives no more records, so it learns of its
+  // removal from the leader's response to a sync.
+  if (locator_.IsFormerMember(settings_.rpc_listen)) return false;
   const control_status status = member_->Status();
+  // A leader that removes itself is needed until the change is committed.
+  if (!status.members_committed) return true;
   size_t voters = 0;
   bool is_voter = false;
   for (const control_member_info& member : status.members) {
@@ -350,16 +355,12 @@
 
 void daemon_process_impl::WaitUntilReplaced(absl::Time deadline) {
   if (member_ == nullptr || settings_.control_voters == 0) return;
-  // A member that has been removed from the group receives no more records, so it learns of its
-  // removal from the leader's response to a sync.
-  while (clock_.Now() < deadline && HasSuccessor() &&
-         !locator_.IsFormerMember(settings_.rpc_listen)) {
+  while (clock_.Now() < deadline && IsBeingReplaced()) {
     sync_->RequestSync();
     absl::SleepFor(kReplacementCheckInterval);
   }
-  LogDrainStep(HasSuccessor() && !locator_.IsFormerMember(settings_.rpc_listen)
-                   ? "control group still needs this member"
-                   : "control group does not need this member");
+  LogDrainStep(IsBeingReplaced() ? "control group still needs this member"
+                                 : "control group does not need this member");
 }
 
 void daemon_process_impl::DrainOtherListeners() {
--- a/src/daemon/tests/control_replacement_test.cc
+++ b/src/daemon/tests/control_replacement_test.cc
@@ -3,15 +3,15 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <functional>
 #include <future>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
+#include "absl/time/time.h"
 #include "daemon/daemon.h"
+#include "daemon/tests/wait_until.h"
 #include "http/tests/raw_socket.h"
 
 namespace teaseljunction {
@@ -19,17 +19,6 @@
 
 constexpr size_t kVoters = 3;
 constexpr int kMaxBuildAttempts = 10;
-constexpr absl::Duration kWaitLimit = absl::Seconds(30);
-constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
-
-bool WaitUntil(const std::function<bool()>& condition) {
-  const absl::Time limit = absl::Now() + kWaitLimit;
-  while (!condition()) {
-    if (absl::Now() > limit) return false;
-    absl::SleepFor(kPollInterval);
-  }
-  return true;
-}
 
 /// Daemons of a control group of three voters, each with a directory of its own.
 class control_group {
--- a/src/daemon/tests/planned_stop_test.cc
+++ b/src/daemon/tests/planned_stop_test.cc
@@ -17,6 +17,7 @@
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "daemon/daemon.h"
+#include "daemon/tests/wait_until.h"
 #include "http/http_server.h"
 #include "http/tests/raw_socket.h"
 #include "manifest/manifest_codec.h"
@@ -25,9 +26,7 @@
 namespace teaseljunction {
 namespace {
 
-constexpr absl::Duration kWaitLimit = absl::Seconds(20);
 constexpr int kMaxBuildAttempts = 10;
-constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
 constexpr absl::Duration kRequestInterval = absl::Milliseconds(50);
 // Keeps the number of held requests below the concurrency limit of a new target.
 constexpr absl::Duration kHeldRequestInterval = absl::Milliseconds(400);
@@ -42,15 +41,6 @@
 constexpr absl::string_view kOrder =
     "POST /order/held HTTP/1.1\r\nHost: test\r\nIdempotency-Key: one\r\nContent-Length: 0\r\n\r\n";
 
-bool WaitUntil(const std::function<bool()>& condition) {
-  const absl::Time limit = absl::Now() + kWaitLimit;
-  while (!condition()) {
-    if (absl::Now() > limit) return false;
-    absl::SleepFor(kPollInterval);
-  }
-  return true;
-}
-
 template <class Future>
 bool IsReady(const Future& future) {
   return future.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
