--- a/src/http/tests/faulty_server_test.cc
+++ b/src/http/tests/faulty_server_test.cc
@@ -23,6 +23,11 @@
 using http_outcome = outcome<http_response>;
 
 constexpr absl::Duration kLongTimeout = absl::Seconds(60);
+// Many calls whose answers take more memory together than the client may use.
+constexpr int kCalls = 60;
+constexpr size_t kMemory = size_t{4} << 20;
+constexpr size_t kMaxAnswer = size_t{1} << 20;
+constexpr size_t kSentBytes = 900'000;
 constexpr absl::string_view kMarks = "X-Request-Id: r1\r\nX-Target-Mark: s1\r\n";
 
 /// Builds a client with separate threads and, in a second run of the test, one on an event loop.
@@ -378,10 +383,6 @@
 // Guards against many answers, each within the limit of one, that together take the memory of the
 // process (issue 33, the operators' report).
 TEST_CASE("the memory for many answers at once is limited") {
-  constexpr int kCalls = 60;
-  constexpr size_t kMemory = size_t{4} << 20;
-  constexpr size_t kMaxAnswer = size_t{1} << 20;
-  constexpr size_t kSentBytes = 900'000;
   const std::string head = absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks);
   const std::vector<endless_case> cases = {
       {"body", absl::StrCat(head, "Content-Length: 1000000\r\n\r\n"), "x"},
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -27,6 +27,10 @@
 namespace {
 
 constexpr absl::Duration kLongTimeout = absl::Seconds(10);
+// Memory for incomplete messages, in which `kFittingMessages` of `kMessageBytes` fit.
+constexpr size_t kMemory = size_t{1} << 20;
+constexpr size_t kFittingMessages = 4;
+constexpr size_t kMessageBytes = kMemory / kFittingMessages;
 
 using execute_completion = absl::AnyInvocable<void(execute_result)>;
 
@@ -393,9 +397,6 @@
 // Guards against large messages that never end on many connections and together take the memory of
 // the process (issue 33, the operators' report).
 TEST_CASE("the memory for incomplete messages is limited") {
-  constexpr size_t kMemory = size_t{1} << 20;
-  constexpr size_t kMessageBytes = kMemory / 4;
-  constexpr size_t kFittingMessages = 4;
   running_server running("127.0.0.1:0", kMemory, 1);
   // The head of a message with a single segment, and a part of the segment.
   std::string start(8, '\0');
