Look at the current target once for each call that starts or is sent

The check now takes the copy that its caller has. RefuseQueued has no parameter for its only reason, and returns at once while nothing is queued, so a target that drains or has gone doesn't search its running calls at each poll.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -189,17 +189,18 @@
   {
     absl::MutexLock lock(&mutex_);
     accepting_ = false;
-    RefuseQueued(error_kind::kDraining, deps_.clock.Now(), work);
+    RefuseQueued(deps_.clock.Now(), work);
   }
   RunDeferred(std::move(work));
 }
 
-void target_executor::RefuseQueued(error_kind reason, absl::Time now, deferred_work& work) {
+void target_executor::RefuseQueued(absl::Time now, deferred_work& work) {
+  if (admission_.QueuedCalls() == 0) return;
   absl::erase_if(tasks_, [&](const auto& entry) {
     // A call that is about to start has already left the queue.
     const auto& [call_id, queued] = entry;
     if (queued->started || !admission_.Cancel(call_id, now)) return false;
-    work.refusals.emplace_back(queued, reason);
+    work.refusals.emplace_back(queued, error_kind::kDraining);
     return true;
   });
 }
@@ -208,9 +209,8 @@
   return now - lease_.DrainingSince() >= drain_grace_period_;
 }
 
-absl::optional<error_kind> target_executor::FindSendObstacle(const call& request,
-                                                             absl::Time now) const {
-  const auto target = lease_.Current(now);
+absl::optional<error_kind> target_executor::FindSendObstacle(
+    const call& request, const absl::optional<target_announcement>& target, absl::Time now) const {
   if (!target || target->service != request.service) return error_kind::kTargetUnreachable;
   if (IsPastLastStart(now)) return error_kind::kDraining;
   return absl::nullopt;
@@ -220,12 +220,12 @@
                                                        const target_announcement& target) {
   absl::MutexLock lock(&mutex_);
   const absl::Time now = deps_.clock.Now();
-  absl::optional<error_kind> obstacle = FindSendObstacle(started.request, now);
   const auto current = lease_.Current(now);
+  absl::optional<error_kind> obstacle = FindSendObstacle(started.request, current, now);
   // The address may belong to another process by now.
-  const bool same_target =
-      current && current->target_id == target.target_id && current->address == target.address;
-  if (!obstacle && !same_target) obstacle = error_kind::kTargetUnreachable;
+  const bool replaced =
+      current && (current->target_id != target.target_id || current->address != target.address);
+  if (!obstacle && replaced) obstacle = error_kind::kTargetUnreachable;
   if (!obstacle) return absl::nullopt;
   started.refused_before_send = true;
   return error{*obstacle, ""};
@@ -233,7 +233,8 @@
 
 // Returns the reason for which a call is refused, or kInternal when it can be accepted.
 error_kind target_executor::RefusalReasonFor(const call& request, absl::Time now) {
-  if (const auto obstacle = FindSendObstacle(request, now)) return *obstacle;
+  const auto obstacle = FindSendObstacle(request, lease_.Current(now), now);
+  if (obstacle) return *obstacle;
   if (!accepting_) return error_kind::kDraining;
   if (deps_.quarantine.Contains(request.fingerprint)) return error_kind::kQuarantined;
   return error_kind::kInternal;
@@ -294,7 +295,7 @@
 void target_executor::PollAdmission(deferred_work& work) {
   const absl::Time now = deps_.clock.Now();
   ApplySlots(now);
-  if (IsPastLastStart(now)) RefuseQueued(error_kind::kDraining, now, work);
+  if (IsPastLastStart(now)) RefuseQueued(now, work);
   for (const admission_decision& decision : admission_.Poll(now)) {
     ApplyDecision(decision, work);
   }
@@ -336,6 +337,7 @@
 void target_executor::StartCall(uint64_t call_id) {
   std::shared_ptr<task> started;
   absl::optional<target_announcement> target;
+  absl::optional<error_kind> obstacle;
   deferred_work work;
   {
     absl::MutexLock lock(&mutex_);
@@ -343,9 +345,9 @@
     if (found == tasks_.end()) return;
     started = found->second;
     const absl::Time now = deps_.clock.Now();
-    const absl::optional<error_kind> obstacle = FindSendObstacle(started->request, now);
+    target = lease_.Current(now);
+    obstacle = FindSendObstacle(started->request, target, now);
     if (!obstacle) {
-      target = lease_.Current(now);
       started->started = true;
       started->started_at = now;
       suspects_.OnStarted(started->request.fingerprint, now);
@@ -357,7 +359,7 @@
       PollAdmission(work);
     }
   }
-  if (!target) return RunDeferred(std::move(work));
+  if (obstacle) return RunDeferred(std::move(work));
   deps_.graph.RecordExecutionStart(started->request, started->started_at);
   started->running = std::make_shared<running_call>(started->request, started->deadline);
   started->token = deps_.contexts.Add(started->running);
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -125,15 +125,16 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns true once a draining target may get no more calls.
   bool IsPastLastStart(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  // Returns the reason for which a call cannot be sent to the current target, or nothing.
-  absl::optional<error_kind> FindSendObstacle(const call& request, absl::Time now) const
+  // Returns the reason for which a call cannot be sent to `target`, the current one, or nothing.
+  absl::optional<error_kind> FindSendObstacle(const call& request,
+                                              const absl::optional<target_announcement>& target,
+                                              absl::Time now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Decides whether a started call is still sent, now that its connection to `target` is ready.
   absl::optional<error> CheckBeforeSend(task& started, const target_announcement& target)
       ABSL_LOCKS_EXCLUDED(mutex_);
-  // Moves all queued calls to the refusals.
-  void RefuseQueued(error_kind reason, absl::Time now, deferred_work& work)
-      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Moves all queued calls to the refusals, with kDraining.
+  void RefuseQueued(absl::Time now, deferred_work& work) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplyDecision(const admission_decision& decision, deferred_work& work)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PollAdmission(deferred_work& work) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
