--- a/src/control/tests/group_failure_test.cc
+++ b/src/control/tests/group_failure_test.cc
@@ -251,16 +251,9 @@
   void LoseReplaced() {
     for (const int node : replaced_) group_.Depart(node);
   }
-  void EraseReplaced() {
-    for (const int node : replaced_) {
-      group_.Kill(node);
-      group_.EraseDisk(node);
-    }
-    group_.Run(absl::Seconds(1));
-    for (const int node : replaced_) group_.Restart(node);
-  }
+  void EraseReplaced() { EraseDisks(replaced_); }
 
-  // Takes the disks of `count` further members and restarts these after a second.
+  // Takes the disks of `count` further members.
   void LoseDisks(int count) {
     std::set<int> lost;
     const int leader = group_.Leader();
@@ -270,18 +263,17 @@
       const int node = group_.RandomVoter();
       if (replaced_.count(node) == 0) lost.insert(node);
     }
-    for (const int node : lost) {
-      group_.Kill(node);
-      group_.EraseDisk(node);
-    }
-    group_.Run(absl::Seconds(1));
-    for (const int node : lost) group_.Restart(node);
+    EraseDisks(lost);
   }
 
-  void CheckRecovery() {
+  void CheckProgress() {
     group_.RunUntil(
         "a leader after the losses", [&] { return group_.Leader() >= 0; }, kRecoveryTime);
     group_.CheckProgress();
+  }
+
+  void CheckRecovery() {
+    CheckProgress();
     group_.RunUntil("a complete group",
                     [&] { return group_.Voters().size() == static_cast<size_t>(voters_); });
   }
@@ -291,6 +283,16 @@
   int Successor() const { return voters_; }
 
  private:
+  // The members restart with empty disks after a second.
+  void EraseDisks(const std::set<int>& nodes) {
+    for (const int node : nodes) {
+      group_.Kill(node);
+      group_.EraseDisk(node);
+    }
+    group_.Run(absl::Seconds(1));
+    for (const int node : nodes) group_.Restart(node);
+  }
+
   const replacement_case& chosen_;
   const int voters_;
   simulated_group group_;
@@ -338,9 +340,7 @@
   run.Group().Depart(run.Successor());
   run.Group().Run(run.Case().loss_after);
   run.LoseDisks(run.Case().tolerated - 1);
-  run.Group().RunUntil(
-      "a leader after the losses", [&] { return run.Group().Leader() >= 0; }, kRecoveryTime);
-  run.Group().CheckProgress();
+  run.CheckProgress();
 }
 
 struct replacement_scenario {
@@ -377,38 +377,33 @@
   return {};
 }
 
-}  // namespace
-
-// Guards against review case 1 (issue 33): a configuration that is lost with as many disks as the
-// group must bear, because a member that left still counted towards the majority.
-// TEASELJUNCTION_SEED and TEASELJUNCTION_SEEDS as below.
-TEST_CASE("the group bears losses of disks at any moment of a replacement") {
+// Requires that `run` returns no violation for any seed. TEASELJUNCTION_SEED sets the first seed
+// and TEASELJUNCTION_SEEDS the number of seeds.
+void CheckSeeds(absl::string_view test_name, uint64_t default_count, std::string (*run)(uint64_t)) {
   const uint64_t first = NumberFromEnvironment("TEASELJUNCTION_SEED", 0);
-  const uint64_t count = NumberFromEnvironment("TEASELJUNCTION_SEEDS", 240);
+  const uint64_t count = NumberFromEnvironment("TEASELJUNCTION_SEEDS", default_count);
   for (uint64_t seed = first; seed < first + count; ++seed) {
-    const std::string violation = RunReplacementSeed(seed);
-    INFO("repeat with: TEASELJUNCTION_SEED=" << seed
-                                             << " TEASELJUNCTION_SEEDS=1 control_test \"the group "
-                                                "bears losses of disks at any moment of a "
-                                                "replacement\"");
+    const std::string violation = run(seed);
+    INFO("repeat with: TEASELJUNCTION_SEED=" << seed << " TEASELJUNCTION_SEEDS=1 control_test \""
+                                             << test_name << "\"");
     INFO(violation);
     CHECK(violation.empty());
   }
 }
 
+}  // namespace
+
+// Guards against review case 1 (issue 33): a configuration that is lost with as many disks as the
+// group must bear, because a member that left still counted towards the majority.
+TEST_CASE("the group bears losses of disks at any moment of a replacement") {
+  CheckSeeds("the group bears losses of disks at any moment of a replacement", 240,
+             &RunReplacementSeed);
+}
+
 // Guards against violations of the invariants that simulated_group checks, in each failure
-// scenario. TEASELJUNCTION_SEED sets the first seed and TEASELJUNCTION_SEEDS the number of seeds.
+// scenario.
 TEST_CASE("the group keeps its invariants under failures") {
-  const uint64_t first = NumberFromEnvironment("TEASELJUNCTION_SEED", 0);
-  const uint64_t count = NumberFromEnvironment("TEASELJUNCTION_SEEDS", 360);
-  for (uint64_t seed = first; seed < first + count; ++seed) {
-    const std::string violation = RunSeed(seed);
-    INFO("repeat with: TEASELJUNCTION_SEED=" << seed
-                                             << " TEASELJUNCTION_SEEDS=1 control_test \"the group "
-                                                "keeps its invariants under failures\"");
-    INFO(violation);
-    CHECK(violation.empty());
-  }
+  CheckSeeds("the group keeps its invariants under failures", 360, &RunSeed);
 }
 
 // Guards against a control group that ends when each of its disks was full for a while (issue 21).
--- a/src/http/tests/faulty_server_test.cc
+++ b/src/http/tests/faulty_server_test.cc
@@ -142,6 +142,13 @@
   };
 }
 
+/// Reads a request and answers it with the marks of its server.
+void Answer(const raw_socket& connection, absl::string_view body) {
+  connection.ReadUntil("\r\n\r\n");
+  connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, "Content-Length: ", body.size(),
+                                "\r\n\r\n", body));
+}
+
 std::string Repeat(absl::string_view piece, size_t min_bytes) {
   std::string repeated;
   while (repeated.size() < min_bytes) repeated.append(piece.data(), piece.size());
@@ -317,10 +324,7 @@
         }
         closed_by_client.set_value();
       });
-      raw_server other([](raw_socket& connection) {
-        connection.ReadUntil("\r\n\r\n");
-        connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, "Content-Length: 0\r\n\r\n"));
-      });
+      raw_server other([](raw_socket& connection) { Answer(connection, ""); });
       const auto client = builder.Threads(1).Build();
       const answer_case request = {"", "GET", "", false};
       std::promise<http_outcome> ended;
@@ -355,10 +359,7 @@
     while (connection.Write(block)) {
     }
   });
-  raw_server other([](raw_socket& connection) {
-    connection.ReadUntil("\r\n\r\n");
-    connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, "Content-Length: 0\r\n\r\n"));
-  });
+  raw_server other([](raw_socket& connection) { Answer(connection, ""); });
   const auto client = Builder().Threads(1).Build();
   const answer_case request = {"", "GET", "", false};
   std::vector<std::future<http_outcome>> streams;
@@ -404,11 +405,7 @@
     });
     // Smaller than an equal share of the memory.
     const std::string body(20'000, 'y');
-    raw_server other([&](raw_socket& connection) {
-      connection.ReadUntil("\r\n\r\n");
-      connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", kMarks, "Content-Length: ", body.size(),
-                                    "\r\n\r\n", body));
-    });
+    raw_server other([&](raw_socket& connection) { Answer(connection, body); });
     const auto client =
         builder.Threads(1).MaxBufferedBytes(kMemory).MaxResponseBytes(kMaxAnswer).Build();
     const answer_case request = {"", "GET", "", false};
--- a/src/rpc/tests/rpc_test.cc
+++ b/src/rpc/tests/rpc_test.cc
@@ -206,10 +206,15 @@
   std::thread thread_;
 };
 
-void SendBytes(const std::string& address, const std::string& data) {
+int ConnectTo(const std::string& address) {
   const auto target = Capture<socket_address>([&] { return ParseSocketAddress(address); });
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   REQUIRE(connect(fd, std::get<0>(target).get(), std::get<0>(target).length) == 0);
+  return fd;
+}
+
+void SendBytes(const std::string& address, const std::string& data) {
+  const int fd = ConnectTo(address);
   send(fd, data.data(), data.size(), MSG_NOSIGNAL);
   std::array<char, 256> answer;
   // Reads until the server closes the connection.
@@ -405,10 +410,7 @@
   start.append(kMessageBytes / 2, '\0');
   std::vector<int> connections;
   const auto connect_and_send = [&] {
-    const auto target =
-        Capture<socket_address>([&] { return ParseSocketAddress(running.address); });
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    REQUIRE(connect(fd, std::get<0>(target).get(), std::get<0>(target).length) == 0);
+    const int fd = ConnectTo(running.address);
     REQUIRE(send(fd, start.data(), start.size(), MSG_NOSIGNAL) > 0);
     connections.push_back(fd);
   };
