--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -184,6 +184,10 @@
     const auto target = executor_->CurrentTarget();
     const service* target_service = target ? manifest.FindService(target->service) : nullptr;
     executor_->SetMaxConcurrency(target_service == nullptr ? 0 : target_service->max_concurrency);
+    const overload_control_mode mode = manifest.Manifest().overload_control;
+    executor_->SetOverloadControl(mode);
+    call_graph_.SetOverloadControl(mode);
+    targets_.SetOverloadControl(mode);
   });
   entry_dependencies_ = std::make_unique<entry_call_dependencies>(
       entry_call_dependencies{clock_, random_, loop_, accounts_, targets_, *leader_client_, *peers_,
--- a/src/gateway/call_graph.h
+++ b/src/gateway/call_graph.h
@@ -9,6 +9,7 @@
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "common/types.h"
+#include "manifest/types.h"
 #include "overload/call_rank.h"
 #include "overload/call_ratio_estimator.h"
 #include "overload/entry_admission.h"
@@ -22,6 +23,9 @@
 /// this daemon. Thread-safe.
 class call_graph {
  public:
+  /// Sets how overload is handled, as the manifest in force says. Takes effect for later calls.
+  void SetOverloadControl(overload_control_mode mode);
+
   /// Counts one execution started at the local target.
   void RecordExecutionStart(const call& request, absl::Time now);
 
@@ -54,6 +58,7 @@
 
  private:
   mutable absl::Mutex mutex_;
+  overload_control_mode mode_ ABSL_GUARDED_BY(mutex_) = overload_control_mode::kReactive;
   running_executions executions_ ABSL_GUARDED_BY(mutex_);
   call_ratio_estimator ratios_ ABSL_GUARDED_BY(mutex_);
   route_cost_table costs_ ABSL_GUARDED_BY(mutex_);
--- a/src/gateway/internal/call_graph.cc
+++ b/src/gateway/internal/call_graph.cc
@@ -2,6 +2,11 @@
 
 namespace teaseljunction {
 
+void call_graph::SetOverloadControl(overload_control_mode mode) {
+  absl::MutexLock lock(&mutex_);
+  mode_ = mode;
+}
+
 void call_graph::RecordExecutionStart(const call& request, absl::Time now) {
   absl::MutexLock lock(&mutex_);
   executions_.Add(request.request_id, request.route,
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -178,6 +178,11 @@
   admission_.SetSlots(slots, now);
 }
 
+void target_executor::SetOverloadControl(overload_control_mode mode) {
+  absl::MutexLock lock(&mutex_);
+  mode_ = mode;
+}
+
 void target_executor::SetMaxConcurrency(uint32_t max_concurrency) {
   absl::MutexLock lock(&mutex_);
   max_concurrency_ = max_concurrency;
--- a/src/gateway/internal/target_selector.cc
+++ b/src/gateway/internal/target_selector.cc
@@ -37,6 +37,11 @@
   }
 }
 
+void target_selector::SetOverloadControl(overload_control_mode mode) {
+  absl::MutexLock lock(&mutex_);
+  mode_ = mode;
+}
+
 void target_selector::SetRetryBudget(absl::string_view service, double ratio,
                                      double reserve_per_second) {
   shard& service_shard = ShardOf(service);
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -16,6 +16,7 @@
 #include "gateway/call_header_names.h"
 #include "gateway/quarantine_registry.h"
 #include "http/http_client.h"
+#include "manifest/types.h"
 #include "membership/target_lease.h"
 #include "quarantine/suspect_tracker.h"
 #include "rpc/node_service.h"
@@ -91,6 +92,9 @@
   /// Sets the upper bound of the concurrency limit given by the manifest; 0 for no bound.
   void SetMaxConcurrency(uint32_t max_concurrency);
 
+  /// Sets how overload is handled, as the manifest in force says. Takes effect for later calls.
+  void SetOverloadControl(overload_control_mode mode);
+
  private:
   struct task {
     call request;
@@ -169,6 +173,7 @@
   uint64_t response_count_ ABSL_GUARDED_BY(mutex_) = 0;
   bool accepting_ ABSL_GUARDED_BY(mutex_) = true;
   uint32_t max_concurrency_ ABSL_GUARDED_BY(mutex_) = 0;
+  overload_control_mode mode_ ABSL_GUARDED_BY(mutex_) = overload_control_mode::kReactive;
   uint32_t applied_slots_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time scheduled_poll_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
 };
--- a/src/gateway/target_selector.h
+++ b/src/gateway/target_selector.h
@@ -10,6 +10,7 @@
 #include "balancer/balancer.h"
 #include "balancer/retry_budget.h"
 #include "common/random_source.h"
+#include "manifest/types.h"
 
 namespace teaseljunction {
 
@@ -21,6 +22,9 @@
   /// Replaces the targets of all services.
   void SetTargets(absl::Span<const balancer_target> targets, absl::Time now);
 
+  /// Sets how overload is handled, as the manifest in force says. Takes effect for later calls.
+  void SetOverloadControl(overload_control_mode mode);
+
   /// Records the load that a target reported with a response.
   void ReportLoad(absl::string_view service, absl::string_view daemon_id, double load,
                   absl::Time now);
@@ -76,6 +80,7 @@
   const std::string data_centre_;
   random_source& random_;
   absl::Mutex mutex_;
+  overload_control_mode mode_ ABSL_GUARDED_BY(mutex_) = overload_control_mode::kReactive;
   absl::flat_hash_map<std::string, std::unique_ptr<shard>> shards_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/src/manifest/internal/manifest_codec.cc
+++ b/src/manifest/internal/manifest_codec.cc
@@ -16,6 +16,9 @@
 namespace teaseljunction {
 namespace {
 
+constexpr absl::string_view kReactive = "reactive";
+constexpr absl::string_view kPlanned = "planned";
+
 std::string ToString(capnp::Text::Reader text) { return {text.begin(), text.size()}; }
 
 client_account ReadAccount(schema::ClientAccount::Reader reader) {
@@ -57,6 +60,9 @@
   }
   for (auto entry : reader.getServices()) decoded.services.push_back(ReadService(entry));
   for (auto entry : reader.getRoutes()) decoded.routes.push_back(ReadRoute(entry));
+  if (ToString(reader.getOverloadControl()) == kPlanned) {
+    decoded.overload_control = overload_control_mode::kPlanned;
+  }
   return decoded;
 }
 
@@ -96,6 +102,17 @@
   }
   auto routes = builder.initRoutes(source.routes.size());
   for (size_t i = 0; i < source.routes.size(); ++i) WriteRoute(source.routes[i], routes[i]);
+  // The default is not written, so that daemons that do not know the field accept the manifest.
+  if (source.overload_control == overload_control_mode::kPlanned) {
+    builder.setOverloadControl(std::string(kPlanned).c_str());
+  }
+}
+
+/// Returns the message for an unknown mode, or nothing.
+absl::optional<std::string> FindOverloadControlError(schema::Manifest::Reader reader) {
+  const std::string mode = ToString(reader.getOverloadControl());
+  if (!reader.hasOverloadControl() || mode == kReactive || mode == kPlanned) return absl::nullopt;
+  return absl::StrCat("overloadControl: must be \"", kReactive, "\" or \"", kPlanned, "\"");
 }
 
 // Returns the message of the first failed check; `decoded` is then unspecified. Throws
@@ -112,6 +129,7 @@
   capnp::MallocMessageBuilder message;
   auto builder = message.initRoot<schema::Manifest>();
   codec.decode(json_value.asReader(), capnp::DynamicStruct::Builder(builder));
+  if (auto mode_error = FindOverloadControlError(builder.asReader())) return mode_error;
   decoded = ReadManifest(builder.asReader());
   return FindManifestError(decoded);
 }
--- a/src/manifest/internal/manifest_diff.cc
+++ b/src/manifest/internal/manifest_diff.cc
@@ -43,6 +43,10 @@
           {"maxAttempts", absl::StrCat(source.max_attempts)}};
 }
 
+std::string ModeJson(overload_control_mode mode) {
+  return JsonString(mode == overload_control_mode::kPlanned ? "planned" : "reactive");
+}
+
 using change_list = std::vector<manifest_change>;
 
 void CompareKeyDigests(const client_account& before, const client_account& after,
@@ -125,6 +129,10 @@
     differences.push_back({change_kind::kChanged, "manifest", "", "version",
                            absl::StrCat(before.version), absl::StrCat(after.version)});
   }
+  if (before.overload_control != after.overload_control) {
+    differences.push_back({change_kind::kChanged, "manifest", "", "overloadControl",
+                           ModeJson(before.overload_control), ModeJson(after.overload_control)});
+  }
   CompareObjects("clientAccount", before.client_accounts, after.client_accounts, differences);
   CompareObjects("service", before.services, after.services, differences);
   CompareObjects("route", before.routes, after.routes, differences);
--- a/src/manifest/manifest.capnp
+++ b/src/manifest/manifest.capnp
@@ -43,4 +43,7 @@
   clientAccounts @1 :List(ClientAccount);
   services @2 :List(Service);
   routes @3 :List(Route);
+  # "reactive" or "planned". A text, because the JSON codec leaves out texts that are not set: the
+  # canonical form, and thereby the digest, of manifests without this field stays as it was.
+  overloadControl @4 :Text;
 }
--- a/src/manifest/tests/manifest_codec_test.cc
+++ b/src/manifest/tests/manifest_codec_test.cc
@@ -53,6 +53,25 @@
   CHECK(decoded.client_accounts[1].key_digests.empty());
 }
 
+// Guards against a digest that changes for manifests that do not use the field: daemons of two
+// versions would then disagree on the manifest in force.
+TEST_CASE("overloadControl is part of the canonical text only when it is planned") {
+  const std::string plain = SampleManifest();
+  const auto with_mode = [&](absl::string_view mode) {
+    return absl::StrReplaceAll(
+        plain,
+        {{R"("version": 7,)", absl::StrCat(R"("version": 7, "overloadControl": ")", mode, "\",")}});
+  };
+  REQUIRE(with_mode("planned") != plain);
+  CHECK(DecodeValid(plain).overload_control == overload_control_mode::kReactive);
+  CHECK(ManifestDigest(DecodeValid(with_mode("reactive"))) == ManifestDigest(DecodeValid(plain)));
+  CHECK_FALSE(absl::StrContains(EncodeManifest(DecodeValid(plain)), "overloadControl"));
+  const manifest planned = DecodeValid(with_mode("planned"));
+  CHECK(planned.overload_control == overload_control_mode::kPlanned);
+  CHECK(DecodeValid(EncodeManifest(planned)).overload_control == overload_control_mode::kPlanned);
+  CHECK(absl::StartsWith(ErrorDetail(with_mode("often")), "overloadControl: "));
+}
+
 // Guards against two digests for one manifest, with which a resubmission would be a conflict.
 TEST_CASE("the canonical text is unchanged by decoding and encoding it again") {
   const manifest decoded = DecodeValid(SampleManifest());
--- a/src/manifest/types.h
+++ b/src/manifest/types.h
@@ -79,6 +79,14 @@
   std::vector<route_part> parts;
 };
 
+/// How daemons keep services from being overloaded.
+enum class overload_control_mode : uint8_t {
+  /// Levels that follow the measured load of the services.
+  kReactive,
+  /// A plan of each service's capacity, made where requests enter.
+  kPlanned,
+};
+
 /// A decoded and validated manifest.
 struct manifest {
   uint64_t version = 0;
@@ -88,6 +96,7 @@
   /// True when request paths are matched as received, without percent-decoding and without the
   /// check for dot and empty segments.
   bool literal_paths = false;
+  overload_control_mode overload_control = overload_control_mode::kReactive;
 };
 
 }  // namespace teaseljunction
