Plan the capacity of services at the entry

Cause: the level of entry_admission falls only once the load is above the target, and goes on falling while the queue of before is still there, so it falls too late and too far. Child calls get raised ranks, so calls of the least important requests pass those of the most important ones, and targets refuse calls of admitted requests.

Change: with overloadControl planned, capacity_plan derives the cut for each service from the offered flow by rank and this daemon's share of the capacity. Calls below an admitted request keep the rank of their root; levels, max_wait and the age in the queue do not apply to them.

--- a/src/admission/internal/admission_controller.cc
+++ b/src/admission/internal/admission_controller.cc
@@ -76,7 +76,7 @@
     return {request.call_id, admission_verdict::kStarted, {}};
   }
   const overload_level level = level_control_->LevelFor(request.client_account, now);
-  if (!level.Admits(request.priority, request.cohort)) {
+  if (!request.carried && !level.Admits(request.priority, request.cohort)) {
     return Refusal(request.call_id, error_kind::kOverloaded);
   }
   return Enqueue(request, now);
@@ -87,8 +87,10 @@
   admission_request bounded_request = request;
   // A queued call is refused once it can no longer meet its deadline, so an earlier deadline bounds
   // the queueing time.
-  bounded_request.deadline = std::min(
-      request.deadline, now + request.max_wait + service_time_->Expected(request.priority, now));
+  if (!request.carried) {
+    bounded_request.deadline = std::min(
+        request.deadline, now + request.max_wait + service_time_->Expected(request.priority, now));
+  }
   const bool added = queue_->Push(bounded_request, now, evicted);
   for (const uint64_t call_id : evicted) Refuse(call_id, error_kind::kOverloaded);
   if (!added) return Refusal(request.call_id, error_kind::kOverloaded);
@@ -195,11 +197,11 @@
   const absl::Duration max_age = std::max(settings_.queue_interval, service_time_->Mean());
   for (const request_priority priority : kSheddablePriorities) {
     if (!queue_detector_->Standing()[static_cast<size_t>(priority)]) continue;
-    const queued_call* call = queue_->Oldest(priority);
+    const queued_call* call = queue_->OldestNotCarried(priority);
     while (call != nullptr && now - call->queued_since > max_age) {
       Refuse(call->request.call_id, error_kind::kOverloaded);
       queue_->Remove(call->request.call_id);
-      call = queue_->Oldest(priority);
+      call = queue_->OldestNotCarried(priority);
     }
   }
 }
--- a/src/admission/internal/call_queue.cc
+++ b/src/admission/internal/call_queue.cc
@@ -22,6 +22,7 @@
   priority_lane& lane = LaneFor(request.priority);
   lane.by_depth[request.depth][request.client_account].insert(sequence);
   lane.by_age.insert(sequence);
+  if (!request.carried) lane.not_carried.insert(sequence);
   lane.by_deadline.emplace(request.deadline, sequence);
   bytes_ += request.size_bytes;
   sequence_by_call_id_[request.call_id] = sequence;
@@ -63,6 +64,7 @@
   bytes_ -= call.request.size_bytes;
   priority_lane& lane = LaneFor(call.request.priority);
   lane.by_age.erase(sequence);
+  lane.not_carried.erase(sequence);
   lane.by_deadline.erase({call.request.deadline, sequence});
   const auto accounts = lane.by_depth.find(call.request.depth);
   const auto account = accounts->second.find(call.request.client_account);
@@ -109,6 +111,11 @@
   return lane.by_age.empty() ? nullptr : &calls_.at(*lane.by_age.begin());
 }
 
+const queued_call* call_queue::OldestNotCarried(request_priority priority) const {
+  const priority_lane& lane = LaneFor(priority);
+  return lane.not_carried.empty() ? nullptr : &calls_.at(*lane.not_carried.begin());
+}
+
 const queued_call* call_queue::NextDeadline(request_priority priority) const {
   const priority_lane& lane = LaneFor(priority);
   return lane.by_deadline.empty() ? nullptr : &calls_.at(lane.by_deadline.begin()->second);
--- a/src/admission/internal/call_queue.h
+++ b/src/admission/internal/call_queue.h
@@ -52,6 +52,9 @@
   /// Returns the oldest call of a priority, or null when there is none.
   const queued_call* Oldest(request_priority priority) const;
 
+  /// Returns the oldest call of a priority that is not `carried`, or null when there is none.
+  const queued_call* OldestNotCarried(request_priority priority) const;
+
   /// Returns the call of a priority with the earliest deadline, or null when there is none.
   const queued_call* NextDeadline(request_priority priority) const;
 
@@ -67,6 +70,8 @@
   struct priority_lane {
     std::map<uint32_t, account_queues, std::greater<>> by_depth;
     arrival_order by_age;
+    // The calls of `by_age` that are not carried.
+    arrival_order not_carried;
     std::set<std::pair<absl::Time, uint64_t>> by_deadline;
     /// Per account, the finish tag of its last served call, as in start-time fair queueing.
     absl::flat_hash_map<std::string, double> finish_tags;
--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -26,6 +26,9 @@
   absl::Time deadline = absl::InfiniteFuture();
   /// Longest time that the call may be queued.
   absl::Duration max_wait = absl::InfiniteDuration();
+  /// True for a call that is refused only for its deadline or for the limits of the queue: levels,
+  /// `max_wait` and the age in the queue do not apply to it.
+  bool carried = false;
 };
 
 /// Outcome of an admission decision.
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -273,7 +273,7 @@
   node_ = std::make_unique<daemon_node>(clock_, *executor_, config_, *sync_, member_.get(),
                                         leader_service_.get());
   operator_handler_ = std::make_unique<operator_handler>(clock_, *node_, *leader_client_, metrics_,
-                                                         [this] { RequestStop(); });
+                                                         call_graph_, [this] { RequestStop(); });
   BOOST_LEAF_CHECK(StartServers());
   return {};
 }
--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -136,11 +136,12 @@
 
 operator_handler::operator_handler(const clock_source& clock, node_service& node,
                                    control_client& control, const call_metrics& metrics,
-                                   absl::AnyInvocable<void()> begin_drain)
+                                   const call_graph& graph, absl::AnyInvocable<void()> begin_drain)
     : clock_(clock),
       node_(node),
       control_(control),
       metrics_(metrics),
+      graph_(graph),
       begin_drain_(std::move(begin_drain)) {}
 
 void operator_handler::Handle(http_request request, std::shared_ptr<http_exchange> exchange) {
@@ -224,8 +225,9 @@
 }
 
 void operator_handler::GetMetrics(const http_request&, exchange_pointer exchange) {
-  exchange->Respond(
-      {kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.FormatPrometheus()});
+  exchange->Respond({kOk,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     metrics_.FormatPrometheus() + graph_.FormatPrometheus(clock_.Now())});
 }
 
 }  // namespace teaseljunction
--- a/src/daemon/operator_handler.h
+++ b/src/daemon/operator_handler.h
@@ -6,6 +6,7 @@
 
 #include "absl/functional/any_invocable.h"
 #include "common/clock_source.h"
+#include "gateway/call_graph.h"
 #include "gateway/call_metrics.h"
 #include "gateway/control_client.h"
 #include "http/http_handler.h"
@@ -20,7 +21,8 @@
   /// `begin_drain` starts the planned shutdown and returns immediately. All references must outlive
   /// the handler.
   operator_handler(const clock_source& clock, node_service& node, control_client& control,
-                   const call_metrics& metrics, absl::AnyInvocable<void()> begin_drain);
+                   const call_metrics& metrics, const call_graph& graph,
+                   absl::AnyInvocable<void()> begin_drain);
 
   void Handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
@@ -50,6 +52,7 @@
   node_service& node_;
   control_client& control_;
   const call_metrics& metrics_;
+  const call_graph& graph_;
   absl::AnyInvocable<void()> begin_drain_;
 };
 
--- a/src/daemon/tests/operator_handler_test.cc
+++ b/src/daemon/tests/operator_handler_test.cc
@@ -54,7 +54,8 @@
   fixed_status node;
   accepting_control control;
   call_metrics metrics;
-  operator_handler handler{time, node, control, metrics, [] {}};
+  call_graph graph;
+  operator_handler handler{time, node, control, metrics, graph, [] {}};
 
   http_response Send(const char* method, absl::string_view path, std::string body = "") {
     http_request request;
--- a/src/gateway/call_graph.h
+++ b/src/gateway/call_graph.h
@@ -12,6 +12,7 @@
 #include "manifest/types.h"
 #include "overload/call_rank.h"
 #include "overload/call_ratio_estimator.h"
+#include "overload/capacity_plan.h"
 #include "overload/entry_admission.h"
 #include "overload/route_cost_table.h"
 #include "overload/route_durations.h"
@@ -47,9 +48,19 @@
   /// service.
   route_cost CostOf(absl::string_view route, const service_cost& own, absl::Time now) const;
 
-  /// Returns the name of a service that has no capacity for a new request, or an empty string when
-  /// the request can be admitted.
-  std::string FindOverloadedService(const call& request, absl::Time now);
+  /// Counts a new request and returns a service that has no capacity for it, or nothing when it can
+  /// be admitted.
+  absl::optional<capacity_shortage> FindOverloadedService(const call& request, absl::Time now);
+
+  /// Called for an admitted request that was refused before its first attempt.
+  void RecordWithdrawn(const call& request, absl::Time now);
+
+  /// Called at the end of an admitted request that was sent to a target. `served` is false if it
+  /// failed.
+  void RecordEnded(const call& request, bool served, absl::Time now);
+
+  /// Returns the capacity plan in the Prometheus text format; empty unless it is in use.
+  std::string FormatPrometheus(absl::Time now) const;
 
   /// See `route_durations`. The calls are those that enter the system at this daemon.
   void RecordEntryStart(absl::string_view route, absl::Time started_at);
@@ -57,12 +68,15 @@
   absl::Duration ExpectedDuration(absl::string_view route, absl::Time now) const;
 
  private:
+  planned_request PlannedRequestOf(const call& request) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
   mutable absl::Mutex mutex_;
   overload_control_mode mode_ ABSL_GUARDED_BY(mutex_) = overload_control_mode::kReactive;
   running_executions executions_ ABSL_GUARDED_BY(mutex_);
   call_ratio_estimator ratios_ ABSL_GUARDED_BY(mutex_);
   route_cost_table costs_ ABSL_GUARDED_BY(mutex_);
   entry_admission admission_ ABSL_GUARDED_BY(mutex_);
+  capacity_plan plan_ ABSL_GUARDED_BY(mutex_);
   route_durations durations_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -68,12 +68,12 @@
     return RespondWithError({error_kind::kQuarantined, ""});
   }
   if (resolved_.request.depth == 0) {
-    const std::string overloaded_service =
-        deps_.graph.FindOverloadedService(resolved_.request, started_at_);
-    if (!overloaded_service.empty()) {
+    const auto shortage = deps_.graph.FindOverloadedService(resolved_.request, started_at_);
+    if (shortage) {
       return RespondWithError(
-          {error_kind::kOverloaded, absl::StrCat("Service ", overloaded_service, " has no room.")});
+          {error_kind::kOverloaded, absl::StrCat("Service ", shortage->service, " has no room.")});
     }
+    planned_ = true;
   }
   // Refuses a request that its service would shed before it uses a token or a claim.
   if (!deps_.targets.AnyTargetAdmits(resolved_.request, started_at_)) {
@@ -195,6 +195,7 @@
   const auto* ended = std::get_if<error>(&executed.answer);
   reached_target_ |= ended == nullptr || AnswerFor(ended->kind).run == run_state::kMayHaveRun;
   if (auto* answer = std::get_if<call_answer>(&executed.answer)) {
+    served_ = !executed.target_failed;
     if (!executed.target_failed || claim_held_) return Respond(std::move(*answer));
     failed_response_ = std::move(*answer);
     return HandleFailure({error_kind::kTargetFailed, "The target answered with a server error."});
@@ -289,6 +290,11 @@
 }
 
 void entry_call::Finish(http_response response) {
+  if (planned_ && attempt_count_ == 0) {
+    deps_.graph.RecordWithdrawn(resolved_.request, deps_.clock.Now());
+  } else if (planned_) {
+    deps_.graph.RecordEnded(resolved_.request, served_, deps_.clock.Now());
+  }
   deps_.graph.RecordEntryEnd(resolved_.request.route, started_at_, reached_target_,
                              deps_.clock.Now());
   if (claim_held_) deps_.pending.End();
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -264,6 +264,7 @@
       work.refusals.emplace_back(added, refusal);
     } else {
       const call& accepted = added->request;
+      const bool carried = accepted.depth > 0 && mode_ == overload_control_mode::kPlanned;
       ApplyDecision(admission_.Submit({.call_id = call_id,
                                        .priority = accepted.priority,
                                        .cohort = accepted.cohort,
@@ -271,7 +272,8 @@
                                        .client_account = accepted.client_account,
                                        .size_bytes = accepted.body.size() + kCallOverheadBytes,
                                        .deadline = added->deadline,
-                                       .max_wait = accepted.max_wait},
+                                       .max_wait = accepted.max_wait,
+                                       .carried = carried},
                                       now),
                     work);
       PollAdmission(work);
--- a/src/gateway/internal/target_selector.cc
+++ b/src/gateway/internal/target_selector.cc
@@ -52,13 +52,21 @@
 absl::optional<target_choice> target_selector::ChooseTarget(const call& request,
                                                             absl::Span<const std::string> excluded,
                                                             absl::Time now) {
+  const bool carried = IsCarried(request);
   shard& service_shard = ShardOf(request.service);
   absl::MutexLock lock(&service_shard.mutex);
-  return service_shard.targets.ChooseTarget(request.service, request.priority, request.cohort,
-                                            excluded, now, request.target_latency);
+  return service_shard.targets.ChooseTarget(
+      request.service, carried ? request_priority::kCritical : request.priority,
+      carried ? uint8_t{0} : request.cohort, excluded, now, request.target_latency);
+}
+
+bool target_selector::IsCarried(const call& request) {
+  absl::MutexLock lock(&mutex_);
+  return mode_ == overload_control_mode::kPlanned && request.depth > 0;
 }
 
 bool target_selector::AnyTargetAdmits(const call& request, absl::Time now) {
+  if (IsCarried(request)) return true;
   shard& service_shard = ShardOf(request.service);
   absl::MutexLock lock(&service_shard.mutex);
   return service_shard.targets.AnyTargetAdmits(request.service, request.priority, request.cohort,
--- a/src/gateway/target_selector.h
+++ b/src/gateway/target_selector.h
@@ -74,6 +74,9 @@
     explicit shard(balancer initial_targets) : targets(std::move(initial_targets)) {}
   };
 
+  // True for a call that targets do not refuse for their level. The level of the first cohort of
+  // the most important priority is the one that comes nearest to none.
+  bool IsCarried(const call& request) ABSL_LOCKS_EXCLUDED(mutex_);
   shard& ShardOf(absl::string_view service) ABSL_LOCKS_EXCLUDED(mutex_);
 
   const std::string daemon_id_;
--- a/src/overload/call_rank.h
+++ b/src/overload/call_rank.h
@@ -21,4 +21,9 @@
 /// first, and those of any admitted request before new requests of its priority.
 call_rank RankOfChildCall(const call_rank& parent);
 
+/// Returns the rank of the calls that an execution makes where the entry plans the capacity: that
+/// of its root, one hop deeper. Raised ranks would let calls of less important requests pass those
+/// of more important ones.
+call_rank PlannedRankOfChildCall(const call_rank& parent);
+
 }  // namespace teaseljunction
--- a/src/overload/internal/call_rank.cc
+++ b/src/overload/internal/call_rank.cc
@@ -13,4 +13,10 @@
   return child;
 }
 
+call_rank PlannedRankOfChildCall(const call_rank& parent) {
+  call_rank child = parent;
+  ++child.depth;
+  return child;
+}
+
 }  // namespace teaseljunction
--- a/src/overload/types.h
+++ b/src/overload/types.h
@@ -27,4 +27,24 @@
   double calls = 0;
 };
 
+/// A service without capacity for a new request.
+struct capacity_shortage {
+  std::string service;
+  /// Time after which a request of the same rank is expected to find capacity.
+  absl::Duration room_expected_in;
+};
+
+/// State of `capacity_plan` for one service. Flows are in calls per second.
+struct plan_status {
+  std::string service;
+  double load = 0;
+  absl::Duration load_age;
+  /// Estimated flow from this daemon at which the load of the service is 1; 0 while unknown.
+  double share = 0;
+  double offered = 0;
+  double admitted = 0;
+  /// Position on the scale of ranks from which on requests are refused, in priorities.
+  double cut = 0;
+};
+
 }  // namespace teaseljunction
