Schedule the returns of refused requests with planned overload control

Cause: every refused caller is told to return after 500 ms to 1 s, and returns as a new request. Many are refused again. Change: return_schedule promises places in windows of 100 ms, bounded by half of the flow that the entry admits at the priority. entry_call sends these delays and gives a request that returns as told the first cohort of its priority. Reactive mode is unchanged.

--- a/src/gateway/call_graph.h
+++ b/src/gateway/call_graph.h
@@ -13,6 +13,7 @@
 #include "overload/call_rank.h"
 #include "overload/call_ratio_estimator.h"
 #include "overload/entry_admission.h"
+#include "overload/return_schedule.h"
 #include "overload/route_cost_table.h"
 #include "overload/route_durations.h"
 #include "overload/running_executions.h"
@@ -51,6 +52,14 @@
   /// the request can be admitted.
   std::string FindOverloadedService(const call& request, absl::Time now);
 
+  /// See `return_schedule`. Without planned overload control, all requests are new ones, and
+  /// nothing is returned as the delay.
+  void RecordEntryAdmitted(request_priority priority, absl::Time now);
+  return_decision RedeemReturn(absl::string_view fingerprint, absl::optional<absl::Time> deadline,
+                               absl::Time now);
+  absl::optional<return_delay> ScheduleReturn(const refused_request& request, absl::Time now);
+  return_counts TakeReturnCounts();
+
   /// See `route_durations`. The calls are those that enter the system at this daemon.
   void RecordEntryStart(absl::string_view route, absl::Time started_at);
   void RecordEntryEnd(absl::string_view route, absl::Time started_at, bool counts, absl::Time now);
@@ -63,6 +72,7 @@
   call_ratio_estimator ratios_ ABSL_GUARDED_BY(mutex_);
   route_cost_table costs_ ABSL_GUARDED_BY(mutex_);
   entry_admission admission_ ABSL_GUARDED_BY(mutex_);
+  return_schedule returns_ ABSL_GUARDED_BY(mutex_);
   route_durations durations_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/src/gateway/call_metrics.h
+++ b/src/gateway/call_metrics.h
@@ -9,6 +9,7 @@
 #include "absl/time/time.h"
 #include "common/error_kind.h"
 #include "common/types.h"
+#include "overload/return_schedule.h"
 
 namespace teaseljunction {
 
@@ -30,6 +31,9 @@
   /// Records an attempt. `retry` is false for the first attempt of a call and true for all others.
   void RecordAttempt(bool retry);
 
+  /// Records events of the schedule of returning requests.
+  void RecordReturns(const return_counts& counts);
+
   /// Returns all metrics in the Prometheus text format, with durations in seconds.
   std::string FormatPrometheus() const;
 
@@ -46,6 +50,7 @@
     std::array<uint64_t, kErrorKindCount> errors ABSL_GUARDED_BY(mutex) = {};
     uint64_t attempts ABSL_GUARDED_BY(mutex) = 0;
     uint64_t retries ABSL_GUARDED_BY(mutex) = 0;
+    return_counts returns ABSL_GUARDED_BY(mutex);
     shard();
   };
 
--- a/src/gateway/call_resolver.h
+++ b/src/gateway/call_resolver.h
@@ -19,6 +19,8 @@
 struct resolved_call {
   call request;
   absl::Time deadline;
+  /// True when the caller stated the time left.
+  bool deadline_stated = false;
   /// True when the request consumes a token of its client account. Child calls belong to the entry
   /// request and consume none.
   bool needs_token = false;
--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -51,6 +51,9 @@
   void Start();
 
  private:
+  // Gives a request that returns as told the first cohort of its priority. Returns false if the
+  // request returns early; it has then been refused.
+  bool AdmitReturn();
   void AcquireToken();
   void OnToken(const token_result& token);
   void RegisterClaim();
@@ -68,13 +71,16 @@
   void Respond(call_answer answer);
   void RespondWithError(const error& failure,
                         absl::optional<absl::Duration> retry_after = absl::nullopt);
+  // Returns the delay after which a caller refused with `reported` may send its request again.
+  absl::Duration RetryAfterFor(error_kind reported, absl::optional<absl::Duration> estimate);
   void Finish(http_response response);
   void Complete(const call_answer& answer);
   void Release();
   void ProposeInBackground(command proposal);
 
   const entry_call_dependencies& deps_;
-  const resolved_call resolved_;
+  // Changed only by `Start`, before the first attempt.
+  resolved_call resolved_;
   const std::shared_ptr<http_exchange> exchange_;
   const absl::Time started_at_;
   const std::string attempt_id_;
@@ -94,6 +100,8 @@
   absl::optional<error> last_failure_;
   absl::optional<call_answer> failed_response_;
   absl::Duration last_service_time_;
+  // Time until the promise to this request is due, if it came too early.
+  absl::optional<absl::Duration> early_by_;
 
   absl::Mutex mutex_;
   bool caller_disconnected_ ABSL_GUARDED_BY(mutex_) = false;
--- a/src/gateway/internal/call_graph.cc
+++ b/src/gateway/internal/call_graph.cc
@@ -52,6 +52,30 @@
                                                       request.priority, request.cohort, now));
 }
 
+void call_graph::RecordEntryAdmitted(request_priority priority, absl::Time now) {
+  absl::MutexLock lock(&mutex_);
+  returns_.RecordAdmitted(priority, now);
+}
+
+return_decision call_graph::RedeemReturn(absl::string_view fingerprint,
+                                         absl::optional<absl::Time> deadline, absl::Time now) {
+  absl::MutexLock lock(&mutex_);
+  if (mode_ != overload_control_mode::kPlanned) return {};
+  return returns_.Redeem(fingerprint, deadline, now);
+}
+
+absl::optional<return_delay> call_graph::ScheduleReturn(const refused_request& request,
+                                                        absl::Time now) {
+  absl::MutexLock lock(&mutex_);
+  if (mode_ != overload_control_mode::kPlanned) return absl::nullopt;
+  return returns_.Schedule(request, now);
+}
+
+return_counts call_graph::TakeReturnCounts() {
+  absl::MutexLock lock(&mutex_);
+  return returns_.TakeCounts();
+}
+
 void call_graph::RecordEntryStart(absl::string_view route, absl::Time started_at) {
   absl::MutexLock lock(&mutex_);
   durations_.RecordStart(route, started_at);
--- a/src/gateway/internal/call_metrics.cc
+++ b/src/gateway/internal/call_metrics.cc
@@ -48,6 +48,17 @@
   absl::StrAppend(out, "# TYPE ", name, " counter\n", name, " ", value, "\n");
 }
 
+/// Label and count of each event of the schedule of returning requests.
+struct return_event {
+  absl::string_view name;
+  uint64_t return_counts::*count;
+};
+constexpr return_event kReturnEvents[] = {
+    {"made", &return_counts::made},       {"redeemed", &return_counts::redeemed},
+    {"early", &return_counts::early},     {"expired", &return_counts::expired},
+    {"evicted", &return_counts::evicted}, {"withheld", &return_counts::withheld},
+};
+
 }  // namespace
 
 call_metrics::shard::shard()
@@ -82,16 +93,28 @@
   if (retry) ++thread_shard.retries;
 }
 
+void call_metrics::RecordReturns(const return_counts& counts) {
+  shard& thread_shard = ShardOfThread();
+  absl::MutexLock lock(&thread_shard.mutex);
+  for (const return_event& event : kReturnEvents) {
+    thread_shard.returns.*event.count += counts.*event.count;
+  }
+}
+
 std::string call_metrics::FormatPrometheus() const {
   latency_histogram latency = MakeLatencyHistogram<latency_histogram>();
   latency_histogram added_latency = MakeLatencyHistogram<latency_histogram>();
   std::array<uint64_t, kErrorKindCount> errors = {};
   uint64_t attempts = 0;
   uint64_t retries = 0;
+  return_counts returns;
   for (const shard& thread_shard : shards_) {
     absl::MutexLock lock(&thread_shard.mutex);
     latency += thread_shard.latency;
     added_latency += thread_shard.added_latency;
+    for (const return_event& event : kReturnEvents) {
+      returns.*event.count += thread_shard.returns.*event.count;
+    }
     for (size_t kind = 0; kind < errors.size(); ++kind) errors[kind] += thread_shard.errors[kind];
     attempts += thread_shard.attempts;
     retries += thread_shard.retries;
@@ -101,6 +124,11 @@
   AppendHistogram(added_latency, "teaseljunction_call_added_seconds", &report);
   AppendCounter("teaseljunction_attempts_total", attempts, &report);
   AppendCounter("teaseljunction_retries_total", retries, &report);
+  absl::StrAppend(&report, "# TYPE teaseljunction_return_promises_total counter\n");
+  for (const return_event& event : kReturnEvents) {
+    absl::StrAppend(&report, "teaseljunction_return_promises_total{event=\"", event.name, "\"} ",
+                    returns.*event.count, "\n");
+  }
   absl::StrAppend(&report, "# TYPE teaseljunction_errors_total counter\n");
   for (size_t kind = 0; kind < errors.size(); ++kind) {
     if (errors[kind] == 0) continue;
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -247,6 +247,7 @@
 
   absl::Duration timeout;
   BOOST_LEAF_ASSIGN(timeout, TimeoutOf(received, matched_route, settings.headers.deadline));
+  resolved.deadline_stated = FindHeader(received.headers, settings.headers.deadline).has_value();
   // A request that its client has sent ahead may have waited for earlier ones.
   const bool arrival_known = received.received_at != absl::InfinitePast();
   resolved.deadline = (arrival_known ? std::min(received.received_at, now) : now) + timeout;
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -22,6 +22,8 @@
 constexpr absl::Duration kResultMargin = absl::Milliseconds(100);
 // Estimated time until a refused caller is likely to be admitted.
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(500);
+// Time until a service has room for a request that it has refused.
+constexpr absl::Duration kRoomExpectedIn = absl::Milliseconds(500);
 constexpr absl::string_view kReplayedHeader = "Teaseljunction-Replayed";
 
 // True for errors with which a target or its daemon refuses a call without having failed.
@@ -38,6 +40,11 @@
   }
 }
 
+// True for refusals for lack of capacity, after which the request may return.
+bool IsOverload(error_kind kind) {
+  return kind == error_kind::kOverloaded || kind == error_kind::kTargetShed;
+}
+
 attempt_result AttemptResultOf(const execute_result& executed) {
   if (const auto* failure = std::get_if<error>(&executed.answer)) {
     if (failure->kind == error_kind::kCancelled) return attempt_result::kCancelled;
@@ -68,6 +75,7 @@
     return RespondWithError({error_kind::kQuarantined, ""});
   }
   if (resolved_.request.depth == 0) {
+    if (!AdmitReturn()) return;
     const std::string overloaded_service =
         deps_.graph.FindOverloadedService(resolved_.request, started_at_);
     if (!overloaded_service.empty()) {
@@ -83,6 +91,22 @@
   AcquireToken();
 }
 
+bool entry_call::AdmitReturn() {
+  const absl::optional<absl::Time> deadline =
+      resolved_.deadline_stated ? absl::make_optional(resolved_.deadline) : absl::nullopt;
+  const return_decision decision =
+      deps_.graph.RedeemReturn(resolved_.request.fingerprint, deadline, started_at_);
+  if (decision.state == return_state::kNew) return true;
+  deps_.metrics.RecordReturns(deps_.graph.TakeReturnCounts());
+  if (decision.state == return_state::kEarly) {
+    early_by_ = decision.remaining;
+    RespondWithError({error_kind::kOverloaded, "The request returned before its time."});
+    return false;
+  }
+  resolved_.request.cohort = 0;
+  return true;
+}
+
 void entry_call::AcquireToken() {
   if (!resolved_.needs_token) return RegisterClaim();
   deps_.accounts.AcquireToken(
@@ -137,7 +161,12 @@
   const auto forwarded_budget = budget_.TakeForDispatch();
   if (!forwarded_budget) return RespondWithError({error_kind::kAttemptsExhausted, ""});
   ++attempt_count_;
-  if (attempt_count_ == 1) deps_.targets.RecordFirstAttempt(resolved_.request.service, now);
+  if (attempt_count_ == 1) {
+    deps_.targets.RecordFirstAttempt(resolved_.request.service, now);
+    if (resolved_.request.depth == 0) {
+      deps_.graph.RecordEntryAdmitted(resolved_.request.priority, now);
+    }
+  }
   deps_.metrics.RecordAttempt(attempt_count_ > 1);
   SendAttempt(*target, *forwarded_budget);
 }
@@ -284,10 +313,31 @@
            {"held_ms", deps_.clock.Now() - started_at_}});
   deps_.metrics.RecordError(reported.kind);
   Finish(ProblemResponse(reported, resolved_.request.request_id,
-                         RetryAfterDelay(retry_after.value_or(kDefaultRetryAfter), deps_.random),
+                         RetryAfterFor(reported.kind, retry_after),
                          deps_.settings.headers.fractional_retry_after));
 }
 
+absl::Duration entry_call::RetryAfterFor(error_kind reported,
+                                         absl::optional<absl::Duration> estimate) {
+  if (early_by_) return *early_by_;
+  const call& request = resolved_.request;
+  if (!estimate && request.depth == 0 && IsOverload(reported)) {
+    const absl::Time now = deps_.clock.Now();
+    const bool fractional = deps_.settings.headers.fractional_retry_after;
+    const refused_request refused{
+        .fingerprint = request.fingerprint,
+        .priority = request.priority,
+        .room_expected_in = kRoomExpectedIn,
+        .time_left = resolved_.deadline - now,
+        .resolution = fractional ? absl::Milliseconds(1) : absl::Seconds(1)};
+    if (const auto scheduled = deps_.graph.ScheduleReturn(refused, now)) {
+      deps_.metrics.RecordReturns(deps_.graph.TakeReturnCounts());
+      return scheduled->delay;
+    }
+  }
+  return RetryAfterDelay(estimate.value_or(kDefaultRetryAfter), deps_.random);
+}
+
 void entry_call::Finish(http_response response) {
   deps_.graph.RecordEntryEnd(resolved_.request.route, started_at_, reached_target_,
                              deps_.clock.Now());
