--- a/src/overload/internal/return_schedule.cc
+++ b/src/overload/internal/return_schedule.cc
@@ -127,7 +127,10 @@
   const int64_t end = WindowOf(now) + kMaxWindowsAhead;
   for (int64_t index = WindowOf(now + earliest); index < end; ++index) {
     const uint32_t promised = CountsOf(promised_, index)[IndexOf(request.priority)];
-    const absl::Duration offset = kWindow * std::fmod(promised * kSpread, 1.0);
+    // Delays in whole seconds can't be spread; the times of the refusals are.
+    const absl::Duration offset = request.resolution < kWindow
+                                      ? kWindow * std::fmod(promised * kSpread, 1.0)
+                                      : absl::ZeroDuration();
     const absl::Duration delay =
         absl::Ceil(std::max(StartOf(index) + offset - now, earliest), request.resolution);
     if (delay > longest || WindowOf(now + delay) >= end) return absl::nullopt;
@@ -154,8 +157,10 @@
   }
   ++counts_.withheld;
   // Half of the time left is more than the caller waits for.
-  const absl::Duration delay = std::max({request.time_left / 2, request.resolution,
-                                         std::min(request.room_expected_in, request.time_left)});
+  const absl::Duration delay =
+      absl::Ceil(std::max({request.time_left / 2, request.resolution,
+                           std::min(request.room_expected_in, request.time_left)}),
+                 request.resolution);
   if (may_add && withheld_count_ < max_entries_ / 2) {
     added.due += LongestWait(request);
     ++withheld_count_;
--- a/src/overload/tests/return_schedule_test.cc
+++ b/src/overload/tests/return_schedule_test.cc
@@ -300,6 +300,25 @@
   CHECK(promised <= 5);
 }
 
+// Guards against promises that expire before the delay is over that the caller was told.
+TEST_CASE("promises hold for delays in whole seconds") {
+  schedule_fixture fixture;
+  std::vector<std::pair<absl::Time, std::string>> due;
+  for (int i = 0; i < 20; ++i, fixture.now += absl::Milliseconds(50)) {
+    const return_delay told =
+        fixture.schedule.Schedule({absl::StrCat(i), request_priority::kNormal,
+                                   absl::Milliseconds(100), kTimeout, absl::Seconds(1)},
+                                  fixture.now);
+    CHECK(absl::Floor(told.delay, absl::Seconds(1)) == told.delay);
+    if (told.promised) due.emplace_back(fixture.now + told.delay, absl::StrCat(i));
+  }
+  CHECK(due.size() >= 15);
+  for (const auto& [when, fingerprint] : due) {
+    fixture.now = when + 2 * kOneWay;
+    CHECK(fixture.Arrive(fingerprint) == return_state::kRedeemed);
+  }
+}
+
 // Guards against two admissions by one promise, and against promises without end.
 TEST_CASE("a promise is redeemed once, at its time") {
   schedule_fixture fixture;
