Test that a promise in whole seconds holds for an early return as well

Cause: without the resolution in the period of a promise, no test failed. Change: one caller in the test returns early and is told to wait for a whole second. Result: the test fails without the resolution in the period, and passes with it.

--- a/src/overload/tests/return_schedule_test.cc
+++ b/src/overload/tests/return_schedule_test.cc
@@ -313,8 +313,12 @@
     if (told.promised) due.emplace_back(fixture.now + told.delay, absl::StrCat(i));
   }
   CHECK(due.size() >= 15);
+  // The first one returns 300 ms early, and is told to wait for a whole second.
+  fixture.now = due[0].first - absl::Milliseconds(300);
+  CHECK(fixture.Arrive(due[0].second) == return_state::kEarly);
   for (const auto& [when, fingerprint] : due) {
-    fixture.now = when + 2 * kOneWay;
+    const bool was_early = fingerprint == due[0].second;
+    fixture.now = when + 2 * kOneWay + absl::Milliseconds(was_early ? 700 : 0);
     CHECK(fixture.Arrive(fingerprint) == return_state::kRedeemed);
   }
 }
