Balance by a remote share and by the pace that targets report

Calls left a crowded data centre all or nothing, and the load header of targets was read at startup only. With planned overload control, a share of the calls follows the difference of the reported loads, targets are drawn by capacity and load, and the daemon beside a target multiplies the load that it reports by the pace that the target reports and its service times confirm. Reactive control is unchanged.

--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -55,6 +55,14 @@
   /// centre for one with a lower load.
   void ReportLoad(absl::string_view daemon_id, double load, absl::Time now);
 
+  /// Sets whether the remote share decides which calls leave the data centre (`planned` overload
+  /// control), and targets are drawn by capacity and load. Default false.
+  void SetPlanned(bool planned);
+
+  /// Returns the remote share of the service as of the last choice, or nothing when the service is
+  /// unknown.
+  absl::optional<spill_status> SpillStatus(absl::string_view service) const;
+
   /// Returns false when every target of the service that is not ejected has reported a level that
   /// refuses such a request. A reported level expires after about 1 s, at a different time for each
   /// target, so that only a few requests probe the service again. Returns true for a service
@@ -84,6 +92,8 @@
   /// Sets the number of targets per service that this daemon sends calls to. Clamped to 1 to 64.
   /// Default 20.
   balancer_builder& SetSubsetSize(size_t subset_size);
+  /// Sets the initial value of `balancer::SetPlanned`.
+  balancer_builder& SetPlanned(bool planned);
   /// Returns the balancer. May be called once.
   balancer Build();
 
@@ -92,6 +102,7 @@
   std::string data_centre_;
   random_source* random_ = nullptr;
   size_t subset_size_ = 20;
+  bool planned_ = false;
 };
 
 }  // namespace teaseljunction
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -7,6 +7,9 @@
 #include <utility>
 
 #include "balancer/internal/balancer_state.h"
+#include "balancer/internal/planned_choice.h"
+#include "balancer/internal/selection_request.h"
+#include "common/log.h"
 
 namespace teaseljunction {
 namespace {
@@ -24,55 +27,12 @@
 // On average one in this many calls stays in a slow local data centre, so that its recovery is
 // noticed.
 constexpr uint32_t kLocalProbeInterval = 32;
-// Scores that differ by at most this fraction count as equal.
-constexpr double kTieTolerance = 0.05;
 // Maximum number of draws for one candidate. A cold target that is drawn may be rejected.
 constexpr int kMaxColdDraws = 3;
-// Load up to which a target counts as idle, and the relative increase of the expected latency for
-// each unit of load above it.
-constexpr double kUncrowdedLoad = 0.6;
-constexpr double kCrowdingWeight = 6;
 // Load above which calls go to another data centre if its load is lower by the gain.
 constexpr double kCrowdedLoad = 0.75;
 constexpr double kMinLoadGain = 0.15;
 
-// A call that needs a target, and the conditions and scores of targets for it.
-struct selection_request {
-  const service_state& service;
-  request_priority priority;
-  uint8_t cohort;
-  absl::Span<const std::string> excluded;
-  absl::Time now;
-  // In seconds.
-  double target_latency = std::numeric_limits<double>::infinity();
-
-  bool Excluded(const target_state& target) const {
-    return std::find(excluded.begin(), excluded.end(), target.target.daemon_id) != excluded.end();
-  }
-  bool Usable(const target_state& target) const {
-    return !target.Ejected(now) && target.Admits(priority, cohort, now);
-  }
-  bool Healthy(const target_state& target) const { return !target.Ejected(now); }
-  bool AnyTarget(const target_state&) const { return true; }
-
-  double Score(const target_state& target) const {
-    const double load = target.in_flight + target.penalty.At(now);
-    const double crowding = std::max(0.0, target.ReportedLoad(now) - kUncrowdedLoad);
-    return (load / target.RampFactor(now) + 1) * service.Expected(target, now) *
-           (1 + kCrowdingWeight * crowding);
-  }
-
-  target_state* Better(target_state* a, target_state* b) const {
-    if (a == nullptr || b == nullptr || a == b) return a == nullptr ? b : a;
-    const double score_a = Score(*a);
-    const double score_b = Score(*b);
-    if (std::abs(score_a - score_b) <= kTieTolerance * std::min(score_a, score_b)) {
-      return b->target.announced_load < a->target.announced_load ? b : a;
-    }
-    return score_b < score_a ? b : a;
-  }
-};
-
 // Targets of one group that a call may be sent to.
 class candidate_list {
  public:
@@ -161,6 +121,24 @@
   target.level_expires_at = now + target.level_lifetime;
 }
 
+// An attempt that got no response from the target's daemon carries a load of 0. That must not make
+// the target look idle.
+bool CredibleReport(const target_state& target, double load) {
+  return std::isfinite(load) && load >= 0 && (load > 0 || target.last_answered);
+}
+
+void UpdateRemoteShare(absl::string_view name, service_state& service, absl::Time now) {
+  if (!service.spill.UpdateDue(now)) return;
+  service.spill.Update(SpillInputsOf(service, now), now);
+  if (!service.spill.TakeLogDue(now)) return;
+  const spill_inputs& inputs = service.spill.Inputs();
+  LOG(INFO) << "balancer: service " << name << " sends a share of " << service.spill.Share()
+            << " to other data centres; load local " << inputs.local_load.value_or(-1) << " remote "
+            << inputs.remote_load.value_or(-1) << ", latency local "
+            << absl::Seconds(inputs.local_latency) << " remote "
+            << absl::Seconds(inputs.remote_latency);
+}
+
 }  // namespace
 
 balancer::balancer(std::unique_ptr<balancer_state> state) : state_(std::move(state)) {}
@@ -176,18 +154,25 @@
     absl::string_view service, request_priority priority, uint8_t cohort,
     absl::Span<const std::string> excluded_daemon_ids, absl::Time now,
     absl::Duration target_latency) {
-  const service_state* found = state_->FindService(service);
+  service_state* found = state_->FindService(service);
   if (found == nullptr) return absl::nullopt;
   const selection_request request{
       *found, priority, cohort, excluded_daemon_ids, now, absl::ToDoubleSeconds(target_latency)};
-  const target_state* chosen = PickTarget(request, state_->random);
+  const target_state* chosen = nullptr;
+  if (state_->planned) {
+    UpdateRemoteShare(service, *found, now);
+    chosen = PickPlannedTarget(request, state_->random);
+  }
+  if (chosen == nullptr) chosen = PickTarget(request, state_->random);
   if (chosen == nullptr) return absl::nullopt;
   return target_choice{chosen->target.daemon_id, chosen->target.address, chosen->other_data_centre};
 }
 
 void balancer::OnAttemptStarted(absl::string_view daemon_id, absl::Time) {
   target_state* target = state_->FindTarget(daemon_id);
-  if (target != nullptr) ++target->in_flight;
+  if (target == nullptr) return;
+  ++target->in_flight;
+  ++target->sent_since_report;
 }
 
 void balancer::OnAttemptFinished(absl::string_view daemon_id, attempt_result result,
@@ -197,6 +182,7 @@
   if (target == nullptr) return;
   if (target->in_flight > 0) --target->in_flight;
   if (now - latency < target->joined_at) return;
+  target->last_answered = result == attempt_result::kAnswered;
   service_state* service = state_->FindService(target->target.service);
   RecordLevel(*target, result, level, now);
   service->RecordLatency(*target, result, absl::ToDoubleSeconds(latency), now);
@@ -207,9 +193,10 @@
 
 void balancer::ReportLoad(absl::string_view daemon_id, double load, absl::Time now) {
   target_state* target = state_->FindTarget(daemon_id);
-  if (target == nullptr) return;
+  if (target == nullptr || (state_->planned && !CredibleReport(*target, load))) return;
   target->reported_load = load;
   target->load_reported_at = now;
+  target->sent_since_report = 0;
 }
 
 bool balancer::AnyTargetAdmits(absl::string_view service, request_priority priority, uint8_t cohort,
@@ -227,6 +214,19 @@
   return !any_healthy;
 }
 
+void balancer::SetPlanned(bool planned) {
+  if (state_->planned == planned) return;
+  state_->planned = planned;
+  for (auto& [name, service] : state_->services) service->spill = spill_control();
+}
+
+absl::optional<spill_status> balancer::SpillStatus(absl::string_view service) const {
+  const service_state* found = state_->FindService(service);
+  if (found == nullptr) return absl::nullopt;
+  const spill_inputs& inputs = found->spill.Inputs();
+  return spill_status{found->spill.Share(), inputs.local_load, inputs.remote_load};
+}
+
 size_t balancer::TargetCount(absl::string_view service) const {
   const service_state* found = state_->FindService(service);
   return found == nullptr ? 0 : found->total;
@@ -252,12 +252,18 @@
   return *this;
 }
 
+balancer_builder& balancer_builder::SetPlanned(bool planned) {
+  planned_ = planned;
+  return *this;
+}
+
 balancer balancer_builder::Build() {
   auto state = std::make_unique<balancer_state>();
   state->daemon_id = std::move(daemon_id_);
   state->data_centre = std::move(data_centre_);
   state->random = fast_random(random_->Next());
   state->subset_size = subset_size_;
+  state->planned = planned_;
   return balancer(std::move(state));
 }
 
--- a/src/balancer/internal/balancer_state.h
+++ b/src/balancer/internal/balancer_state.h
@@ -22,6 +22,8 @@
   std::string data_centre;
   fast_random random;
   size_t subset_size = 0;
+  /// True when the remote share decides which calls leave the data centre.
+  bool planned = false;
 
   absl::flat_hash_map<std::string, std::unique_ptr<target_state>> targets;
   absl::flat_hash_map<std::string, std::unique_ptr<service_state>> services;
--- a/src/balancer/internal/target_state.cc
+++ b/src/balancer/internal/target_state.cc
@@ -104,6 +104,11 @@
   return now - load_reported_at > kLoadLifetime ? 0 : reported_load;
 }
 
+absl::optional<double> target_state::EstimatedLoad(absl::Time now) const {
+  if (now - load_reported_at > kLoadLifetime) return absl::nullopt;
+  return reported_load + sent_since_report / std::max<double>(target.slots, 1);
+}
+
 bool target_state::Failing() const {
   if (consecutive_failures >= kConsecutiveFailuresToEject) return true;
   return results >= kMinResultsForRatio && failure_ratio > kFailureRatioToEject;
--- a/src/balancer/internal/target_state.h
+++ b/src/balancer/internal/target_state.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "balancer/internal/spill_control.h"
 #include "balancer/types.h"
 #include "common/types.h"
 
@@ -46,6 +47,10 @@
   /// Load that the target last reported, and when.
   double reported_load = 0;
   absl::Time load_reported_at = absl::InfinitePast();
+  /// Attempts that this daemon has sent since that report.
+  uint32_t sent_since_report = 0;
+  /// True when the last attempt that ended was answered.
+  bool last_answered = false;
   /// Attempts of this daemon without a result, including those to earlier incarnations.
   uint32_t in_flight = 0;
   penalty_load penalty;
@@ -77,6 +82,9 @@
   double RampFactor(absl::Time now) const;
   /// Returns the reported load, or 0 when the report has expired.
   double ReportedLoad(absl::Time now) const;
+  /// Returns the reported load and what this daemon has sent since the report, or nothing when the
+  /// report has expired.
+  absl::optional<double> EstimatedLoad(absl::Time now) const;
 
   /// Returns true when the results exceed a failure threshold.
   bool Failing() const;
@@ -106,6 +114,8 @@
   latency_average baseline;
   /// Targets in the directory, draining ones included.
   size_t total = 0;
+  /// Fraction of the calls that leave the data centre, with planned overload control.
+  spill_control spill;
 
   /// Returns the baseline, or a fixed initial value without samples, in seconds.
   double Baseline() const;
--- a/src/balancer/types.h
+++ b/src/balancer/types.h
@@ -38,6 +38,15 @@
   bool other_data_centre = false;
 };
 
+/// Calls of a service that leave the data centre.
+struct spill_status {
+  /// Fraction of the calls, 0 to 1.
+  double remote_share = 0;
+  /// Mean loads of the targets in the local and in other data centres, unset when unknown.
+  absl::optional<double> local_load;
+  absl::optional<double> remote_load;
+};
+
 /// How an attempt ended. kRefused: the target did not run the call. kCancelled: the caller gave up
 /// before there was a response.
 enum class attempt_result : uint8_t { kAnswered, kRefused, kFailed, kCancelled };
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -192,6 +192,8 @@
   entry_dependencies_ = std::make_unique<entry_call_dependencies>(
       entry_call_dependencies{clock_, random_, loop_, accounts_, targets_, *leader_client_, *peers_,
                               quarantine_, metrics_, pending_work_, resolver_, call_graph_});
+  metrics_.AddSource([this] { return targets_.FormatPrometheus(); });
+  metrics_.AddSource([this] { return executor_->FormatPrometheus(); });
   announcement_handler_ = std::make_unique<target_announcement_handler>(*executor_);
   entry_ = std::make_unique<entry_request_handler>(*entry_dependencies_, config_, contexts_,
                                                    *announcement_handler_,
--- a/src/daemon/internal/target_probe.cc
+++ b/src/daemon/internal/target_probe.cc
@@ -1,10 +1,8 @@
 #include "daemon/target_probe.h"
 
 #include <utility>
-#include <vector>
 
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_split.h"
+#include "gateway/load_header.h"
 #include "membership/announcement_check.h"
 
 namespace teaseljunction {
@@ -15,15 +13,6 @@
 constexpr absl::Duration kProbeInterval = absl::Milliseconds(250);
 // Targets announce themselves within this time, so that no probe is needed after it.
 constexpr absl::Duration kProbePeriod = absl::Seconds(3);
-// Index of the slots among the comma-separated fields of the load header.
-constexpr size_t kSlotsIndex = 2;
-
-uint32_t ParseSlots(absl::string_view load) {
-  const std::vector<absl::string_view> fields = absl::StrSplit(load, ',');
-  uint32_t slots = 0;
-  if (fields.size() <= kSlotsIndex || !absl::SimpleAtoi(fields[kSlotsIndex], &slots)) return 0;
-  return slots;
-}
 
 }  // namespace
 
@@ -71,7 +60,8 @@
   if (http == nullptr || http->status != kHealthyStatus) return absl::nullopt;
   const auto id = FindHeader(http->headers, deps_.headers.reported_target_id);
   target_announcement found;
-  found.slots = ParseSlots(FindHeader(http->headers, deps_.headers.reported_load).value_or(""));
+  const auto load = FindHeader(http->headers, deps_.headers.reported_load);
+  found.slots = ParseLoadHeader(load.value_or("")).slots.value_or(0);
   // Without the number of slots, the target cannot be protected from overload.
   if (!id || id->empty() || found.slots == 0) return absl::nullopt;
   found.target_id = std::string(*id);
--- a/src/gateway/call_metrics.h
+++ b/src/gateway/call_metrics.h
@@ -2,7 +2,10 @@
 
 #include <array>
 #include <boost/histogram.hpp>
+#include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -30,6 +33,10 @@
   /// Records an attempt. `retry` is false for the first attempt of a call and true for all others.
   void RecordAttempt(bool retry);
 
+  /// Adds metrics that other components keep. `format` returns them in the Prometheus text format;
+  /// it is called by `FormatPrometheus`. Must not be called concurrently with it.
+  void AddSource(std::function<std::string()> format) { sources_.push_back(std::move(format)); }
+
   /// Returns all metrics in the Prometheus text format, with durations in seconds.
   std::string FormatPrometheus() const;
 
@@ -54,6 +61,7 @@
   shard& ShardOfThread();
 
   std::array<shard, kShardCount> shards_;
+  std::vector<std::function<std::string()>> sources_;
 };
 
 }  // namespace teaseljunction
--- a/src/gateway/internal/call_metrics.cc
+++ b/src/gateway/internal/call_metrics.cc
@@ -107,6 +107,7 @@
     absl::StrAppend(&report, "teaseljunction_errors_total{kind=\"",
                     AnswerFor(static_cast<error_kind>(kind)).name, "\"} ", errors[kind], "\n");
   }
+  for (const auto& format : sources_) report += format();
   return report;
 }
 
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "common/event_log.h"
 #include "common/log.h"
+#include "gateway/load_header.h"
 
 namespace teaseljunction {
 namespace {
@@ -409,6 +410,7 @@
     now = deps_.clock.Now();
     if (finished->refused_before_send) result = target_result::kCancelled;
     admission_.Finish(call_id, result, now - finished->started_at, now);
+    if (result == target_result::kAnswered) RecordPace(response, now - finished->started_at, now);
     auto* failure = std::get_if<error>(&response);
     if (failure != nullptr && failure->kind == error_kind::kTargetFailed) {
       failure->kind = error_kind::kTargetCrashed;
@@ -497,6 +499,15 @@
   return admission_.Level(deps_.clock.Now());
 }
 
+void target_executor::RecordPace(const outcome<http_response>& response,
+                                 absl::Duration service_time, absl::Time now) {
+  const auto* received = std::get_if<http_response>(&response);
+  const std::string& name = deps_.headers.reported_load;
+  if (mode_ != overload_control_mode::kPlanned || received == nullptr || name.empty()) return;
+  const auto load = FindHeader(received->headers, name);
+  pace_.Record(ParseLoadHeader(load.value_or("")).pace, service_time, now);
+}
+
 void target_executor::AddLoadReport(const call& request, execute_result& delivered) {
   bool includes_cost = false;
   {
@@ -504,6 +515,8 @@
     const double limit = std::max<double>(admission_.ConcurrencyLimit(), 1);
     delivered.load =
         static_cast<double>(admission_.InFlightCalls() + admission_.QueuedCalls()) / limit;
+    if (mode_ == overload_control_mode::kPlanned)
+      delivered.load *= pace_.LoadFactor(deps_.clock.Now());
     includes_cost = ++response_count_ % kResponsesPerCostReport == 0;
   }
   if (!includes_cost) return;
@@ -548,6 +561,15 @@
   return reports;
 }
 
+std::string target_executor::FormatPrometheus() {
+  absl::MutexLock lock(&mutex_);
+  if (!pace_.Reported()) return "";
+  const double age = absl::ToDoubleSeconds(pace_.Age(deps_.clock.Now()));
+  return absl::StrCat("# TYPE teaseljunction_target_pace gauge\nteaseljunction_target_pace ",
+                      *pace_.Reported(), "\n# TYPE teaseljunction_target_pace_age_seconds gauge\n",
+                      "teaseljunction_target_pace_age_seconds ", age, "\n");
+}
+
 target_executor_status target_executor::Status() {
   absl::MutexLock lock(&mutex_);
   return {admission_.InFlightCalls(), admission_.QueuedCalls(), admission_.ConcurrencyLimit()};
--- a/src/gateway/internal/target_selector.cc
+++ b/src/gateway/internal/target_selector.cc
@@ -2,7 +2,24 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace teaseljunction {
+namespace {
+
+struct spill_gauge {
+  absl::string_view name;
+  absl::optional<double> (*value)(const spill_status&);
+};
+
+constexpr spill_gauge kSpillGauges[] = {
+    {"teaseljunction_remote_share",
+     [](const spill_status& status) -> absl::optional<double> { return status.remote_share; }},
+    {"teaseljunction_local_load", [](const spill_status& status) { return status.local_load; }},
+    {"teaseljunction_remote_load", [](const spill_status& status) { return status.remote_load; }},
+};
+
+}  // namespace
 
 target_selector::target_selector(std::string daemon_id, std::string data_centre,
                                  random_source& random)
@@ -16,6 +33,7 @@
                                         .SetDaemonId(daemon_id_)
                                         .SetDataCentre(data_centre_)
                                         .SetRandomSource(&random_)
+                                        .SetPlanned(mode_ == overload_control_mode::kPlanned)
                                         .Build());
   }
   return *found;
@@ -40,6 +58,10 @@
 void target_selector::SetOverloadControl(overload_control_mode mode) {
   absl::MutexLock lock(&mutex_);
   mode_ = mode;
+  for (const auto& [service, service_shard] : shards_) {
+    absl::MutexLock shard_lock(&service_shard->mutex);
+    service_shard->targets.SetPlanned(mode == overload_control_mode::kPlanned);
+  }
 }
 
 void target_selector::SetRetryBudget(absl::string_view service, double ratio,
@@ -93,6 +115,29 @@
   service_shard.retries.RecordFirstAttempt(service, now);
 }
 
+std::string target_selector::FormatPrometheus() {
+  std::vector<std::pair<std::string, spill_status>> statuses;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (mode_ != overload_control_mode::kPlanned) return "";
+    for (const auto& [service, service_shard] : shards_) {
+      absl::MutexLock shard_lock(&service_shard->mutex);
+      const auto status = service_shard->targets.SpillStatus(service);
+      if (status) statuses.emplace_back(service, *status);
+    }
+  }
+  std::string report;
+  for (const spill_gauge& gauge : kSpillGauges) {
+    absl::StrAppend(&report, "# TYPE ", gauge.name, " gauge\n");
+    for (const auto& [service, status] : statuses) {
+      const absl::optional<double> value = gauge.value(status);
+      if (!value) continue;
+      absl::StrAppend(&report, gauge.name, "{service=\"", service, "\"} ", *value, "\n");
+    }
+  }
+  return report;
+}
+
 size_t target_selector::TargetCount(absl::string_view service) {
   shard& service_shard = ShardOf(service);
   absl::MutexLock lock(&service_shard.mutex);
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -15,6 +15,7 @@
 #include "gateway/call_graph.h"
 #include "gateway/call_header_names.h"
 #include "gateway/quarantine_registry.h"
+#include "gateway/target_pace.h"
 #include "http/http_client.h"
 #include "manifest/types.h"
 #include "membership/target_lease.h"
@@ -86,6 +87,10 @@
   /// Returns the current numbers of running and queued calls and the concurrency limit.
   target_executor_status Status();
 
+  /// Returns the pace that the target last reported, and its age, in the Prometheus text format.
+  /// Empty without one.
+  std::string FormatPrometheus();
+
   /// Replaces the leader's list of suspected requests. When a suspect completes, this is reported.
   void SetSuspects(absl::Span<const std::string> fingerprints);
 
@@ -156,6 +161,9 @@
   // Adds the load of the target to the result and, for a fraction of the responses, the cost of the
   // route.
   void AddLoadReport(const call& request, execute_result& delivered) ABSL_LOCKS_EXCLUDED(mutex_);
+  // Records the pace that the target reported with a response.
+  void RecordPace(const outcome<http_response>& response, absl::Duration service_time,
+                  absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Deliver(task& finished, outcome<call_answer> answer, absl::Duration service_time);
 
   const target_executor_dependencies deps_;
@@ -174,6 +182,7 @@
   bool accepting_ ABSL_GUARDED_BY(mutex_) = true;
   uint32_t max_concurrency_ ABSL_GUARDED_BY(mutex_) = 0;
   overload_control_mode mode_ ABSL_GUARDED_BY(mutex_) = overload_control_mode::kReactive;
+  target_pace pace_ ABSL_GUARDED_BY(mutex_);
   uint32_t applied_slots_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time scheduled_poll_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
 };
--- a/src/gateway/target_selector.h
+++ b/src/gateway/target_selector.h
@@ -63,6 +63,10 @@
     return decide(service_shard.retries);
   }
 
+  /// Returns the remote share and the loads of each service in the Prometheus text format. Empty
+  /// with reactive overload control.
+  std::string FormatPrometheus();
+
   /// Returns the number of targets of the service, including draining ones.
   size_t TargetCount(absl::string_view service);
 
