--- a/src/control/codec.h
+++ b/src/control/codec.h
@@ -21,6 +21,8 @@
   uint64_t base_index = 0;
   uint64_t base_term = 0;
   std::vector<log_record> records;
+  uint64_t durable_bytes = 0;
+  uint64_t writer_id = 0;
 };
 
 /// A decoded message between control members.
--- a/src/control/control.capnp
+++ b/src/control/control.capnp
@@ -98,6 +98,10 @@
   baseIndex @2 :UInt64;
   baseTerm @3 :UInt64;
   records @4 :List(Record);
+  # Length of the segment, in bytes, that was durable before this frame was written, and the member
+  # that wrote it. The member is 0 in frames of earlier releases, which do not name the length.
+  durableBytes @5 :UInt64;
+  writerId @6 :UInt64;
 }
 
 struct RaftMessage {
--- a/src/control/internal/frame.cc
+++ b/src/control/internal/frame.cc
@@ -2,7 +2,7 @@
 
 #include <xxhash.h>
 
-#include <limits>
+#include "absl/types/optional.h"
 
 namespace teaseljunction {
 namespace {
@@ -34,6 +34,26 @@
   return XXH3_64bits(body.data(), body.size()) | kTrailerMark;
 }
 
+// Returns the size of the frame that starts with `bytes`, unless its length is damaged.
+absl::optional<size_t> FrameBytes(absl::string_view bytes) {
+  if (bytes.size() < kHeaderBytes) return absl::nullopt;
+  const absl::string_view length = bytes.substr(0, kLengthBytes);
+  if (LengthChecksum(length) != ReadLittleEndian(bytes.substr(kLengthBytes), kLengthBytes)) {
+    return absl::nullopt;
+  }
+  return kHeaderBytes + ReadLittleEndian(length, kLengthBytes) + kTrailerBytes;
+}
+
+// Returns the body of the frame of this size at the start of `bytes`, unless it is damaged.
+absl::optional<absl::string_view> WholeBody(absl::string_view bytes, size_t frame_bytes) {
+  const size_t body_bytes = frame_bytes - kHeaderBytes - kTrailerBytes;
+  const absl::string_view body = bytes.substr(kHeaderBytes, body_bytes);
+  const uint64_t checksum =
+      ReadLittleEndian(bytes.substr(kHeaderBytes + body_bytes), kTrailerBytes);
+  if (Checksum(body) != checksum) return absl::nullopt;
+  return body;
+}
+
 }  // namespace
 
 std::string WrapFrame(absl::string_view body) {
@@ -52,29 +72,42 @@
   const size_t written_bytes = last_nonzero == absl::string_view::npos ? 0 : last_nonzero + 1;
   while (scan.valid_bytes < content.size()) {
     const absl::string_view rest = content.substr(scan.valid_bytes);
-    const size_t rest_written_bytes =
-        written_bytes > scan.valid_bytes ? written_bytes - scan.valid_bytes : 0;
+    scan.tail_bytes = written_bytes > scan.valid_bytes ? written_bytes - scan.valid_bytes : 0;
     // A header or frame whose last bytes are zeros up to the end of the file is incomplete.
     scan.tail = frame_scan::tail_state::kTruncated;
     if (rest.size() < kHeaderBytes) return scan;
-    const absl::string_view length = rest.substr(0, kLengthBytes);
-    if (LengthChecksum(length) != ReadLittleEndian(rest.substr(kLengthBytes), kLengthBytes)) {
-      if (rest_written_bytes >= kHeaderBytes) scan.tail = frame_scan::tail_state::kDamaged;
+    const absl::optional<size_t> frame_bytes = FrameBytes(rest);
+    if (!frame_bytes) {
+      if (scan.tail_bytes >= kHeaderBytes) scan.tail = frame_scan::tail_state::kDamaged;
       return scan;
     }
-    const size_t body_bytes = ReadLittleEndian(length, kLengthBytes);
-    const size_t frame_bytes = kHeaderBytes + body_bytes + kTrailerBytes;
-    if (rest_written_bytes < frame_bytes) return scan;
-    const absl::string_view body = rest.substr(kHeaderBytes, body_bytes);
-    if (Checksum(body) != ReadLittleEndian(rest.substr(kHeaderBytes + body_bytes), kTrailerBytes)) {
+    if (scan.tail_bytes < *frame_bytes) return scan;
+    const absl::optional<absl::string_view> body = WholeBody(rest, *frame_bytes);
+    if (!body) {
       scan.tail = frame_scan::tail_state::kDamaged;
       return scan;
     }
-    scan.bodies.push_back(body);
-    scan.valid_bytes += frame_bytes;
+    scan.bodies.push_back(*body);
+    scan.valid_bytes += *frame_bytes;
     scan.tail = frame_scan::tail_state::kClean;
+    scan.tail_bytes = 0;
   }
   return scan;
 }
 
+std::vector<absl::string_view> FindFramesBehind(absl::string_view content, size_t damaged) {
+  std::vector<absl::string_view> bodies;
+  // Content inside the damaged frame may look like a frame. If the length of that frame is
+  // readable, its content is skipped.
+  size_t at = damaged + FrameBytes(content.substr(damaged)).value_or(1);
+  for (; at < content.size(); ++at) {
+    const absl::string_view rest = content.substr(at);
+    const absl::optional<size_t> frame_bytes = FrameBytes(rest);
+    if (!frame_bytes || *frame_bytes > rest.size()) continue;
+    const absl::optional<absl::string_view> body = WholeBody(rest, *frame_bytes);
+    if (body) bodies.push_back(*body);
+  }
+  return bodies;
+}
+
 }  // namespace teaseljunction
--- a/src/control/internal/frame.h
+++ b/src/control/internal/frame.h
@@ -21,9 +21,15 @@
   /// Total size of the valid frames, in bytes.
   size_t valid_bytes = 0;
   tail_state tail = tail_state::kClean;
+  /// Size of the tail without the zeros at its end, in bytes.
+  size_t tail_bytes = 0;
 };
 
 /// Splits the content of a file into frames, up to the first one that is incomplete or damaged.
 frame_scan ScanFrames(absl::string_view content);
 
+/// Returns the bodies of all whole frames behind the damaged frame at `damaged`, wherever they
+/// begin, as views into `content`.
+std::vector<absl::string_view> FindFramesBehind(absl::string_view content, size_t damaged);
+
 }  // namespace teaseljunction
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -176,6 +176,8 @@
   out.setBase(frame.base);
   out.setBaseIndex(frame.base_index);
   out.setBaseTerm(frame.base_term);
+  out.setDurableBytes(frame.durable_bytes);
+  out.setWriterId(frame.writer_id);
   WriteRecords(frame.records, out.initRecords(static_cast<unsigned>(frame.records.size())));
   return Flatten(builder);
 }
@@ -191,6 +193,8 @@
                                                   frame.base_index = in.getBaseIndex();
                                                   frame.base_term = in.getBaseTerm();
                                                   frame.records = ReadRecords(in.getRecords());
+                                                  frame.durable_bytes = in.getDurableBytes();
+                                                  frame.writer_id = in.getWriterId();
                                                   return frame;
                                                 });
 }
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -16,6 +16,8 @@
 
 namespace teaseljunction {
 
+struct frame_scan;
+
 /// Interface for the durable state of a member. Not thread-safe. After `Load` has failed, no other
 /// function may be called.
 ///
@@ -55,13 +57,25 @@
 /// segment, whose first frame repeats the state and the records after the snapshot, and then
 /// removes the older files.
 ///
+/// Each frame names the length of its segment that was durable when the frame was written. After
+/// each sync an empty frame, the mark, is written that names the length including this sync; the
+/// next sync makes the mark durable. The mark behind the last frame of a segment is made durable
+/// before the next segment is created.
+///
 /// After a failed write or sync, the next call first truncates the segment to the length that the
 /// last successful sync covers, and then writes the whole frame again: a second sync alone would
 /// succeed although the kernel may have dropped the data.
 ///
-/// At load, an incomplete frame at the end of the last segment is ignored until the first write
-/// removes it, since it was never acknowledged. A complete frame with a wrong checksum is damage,
-/// also at the end, because it may have been acknowledged.
+/// At load, a damaged frame in the last segment counts as a torn write that was never acknowledged
+/// unless a whole frame behind it names a durable length that includes it. A torn write is ignored,
+/// with all that follows it, until the first write removes it. Everything else is damage: the
+/// member may have voted or acknowledged a record. A frame that was synced right before a power
+/// loss, and whose mark was lost in it, cannot be told from a torn write.
+///
+/// Frames of earlier releases name no durable length. Behind such a frame, a complete frame with a
+/// wrong checksum is damage, as it was for these releases. The first write behind such a frame
+/// adds a mark and syncs it. Earlier releases read segments with marks, and take a torn
+/// write or a torn mark for damage.
 class file_journal : public raft_storage {
  public:
   /// `files` must outlive the journal.
@@ -80,18 +94,27 @@
     uint64_t base_term = 0;
     std::vector<log_record> records;
     size_t frames = 0;
+    // True if the last frame names the durable length.
+    bool names_durable_length = false;
   };
 
   result<void> ScanDirectory();
   result<void> ReplaySegment(uint64_t number, bool last, replay_state& replayed);
+  static bool IsUnsynced(absl::string_view content, const frame_scan& scan,
+                         const replay_state& replayed);
   static result<void> ReplayFrame(absl::string_view body, replay_state& replayed);
   result<log_snapshot> ReadSnapshot(uint64_t index);
   result<stored_log> BuildStoredLog(replay_state replayed);
   result<void> WriteSnapshot(const log_snapshot& snapshot);
-  result<void> WriteFrame(const journal_frame& frame);
+  result<void> WriteFrame(journal_frame frame);
+  // Writes a mark for the last sync, and leaves `mark_bytes_` at 0 if the disk refuses it.
+  void WriteMark();
+  // Makes the mark at the end of the last segment durable.
+  result<void> SyncMark();
   // Starts a segment with a base frame and removes the files before it.
-  result<void> WriteBase(const journal_frame& frame);
-  result<void> WriteAndSync(append_file& file, absl::string_view bytes);
+  result<void> WriteBase(journal_frame frame);
+  static result<void> Write(append_file& file, absl::string_view bytes);
+  static result<void> WriteAndSync(append_file& file, absl::string_view bytes);
   result<void> OpenLastSegment();
   // Removes what a failed operation or a restart has left behind, and makes the rest durable.
   result<void> Repair();
@@ -116,6 +139,11 @@
   std::unique_ptr<append_file> segment_;
   // Length of the last segment that is durable, or will be after a repair, in bytes.
   size_t durable_bytes_ = 0;
+  // Size of the mark behind the durable data, in bytes.
+  size_t mark_bytes_ = 0;
+  // True if the last segment was written by an earlier release and has no mark.
+  bool needs_first_mark_ = false;
+  uint64_t member_id_ = 0;
   bool needs_repair_ = false;
   // The base frame that a checkpoint before the last restart has not written, although its snapshot
   // is stored.
--- a/src/control/tests/mocks/simulated_group.h
+++ b/src/control/tests/mocks/simulated_group.h
@@ -57,6 +57,8 @@
 
   /// Ends the process, or the host with its unsynced data.
   void Kill(int node);
+  /// Ends the process only. Its disk keeps all data.
+  void EndProcess(int node);
   void Restart(int node);
   /// Kills a member during one of its next disk operations or before one of its next messages.
   void KillWithinBatch(int node);
