Bound the control log in memory in bytes

Commands are refused with kOverloaded while 16 MiB are uncommitted (kMaxUncommittedBytes); membership changes are still taken. kMaxLogBytes is the sum of the limits.

--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -151,10 +151,11 @@
   /// A snapshot is taken when the log has grown by this many records, or by this many bytes and by
   /// at least the size of the last snapshot.
   uint64_t snapshot_after_records = 10'000;
-  uint64_t snapshot_after_bytes = 8 * 1024 * 1024;
-  /// Records kept in memory after a snapshot, so that a member that was briefly unreachable can
-  /// catch up without a snapshot.
+  uint64_t snapshot_after_bytes = kSnapshotAfterBytes;
+  /// Largest number and size in bytes of the records kept in memory after a snapshot, so that a
+  /// member that was briefly unreachable can catch up without a snapshot.
   uint64_t retained_records = 1000;
+  uint64_t retained_bytes = kRetainedBytes;
   /// Number of voters that must have stored a record before it is committed. A majority is required
   /// in any case.
   uint64_t min_durable_copies = 1;
--- a/src/control/internal/member_core.cc
+++ b/src/control/internal/member_core.cc
@@ -9,7 +9,6 @@
 namespace teaseljunction {
 namespace {
 
-constexpr uint64_t kMaxCommandBytes = 4 * 1024 * 1024;
 // Intervals at which writes that the disk has refused are repeated.
 constexpr absl::Duration kWriteRetryInterval = absl::Milliseconds(100);
 constexpr absl::Duration kSnapshotRetryInterval = absl::Seconds(5);
@@ -91,6 +90,7 @@
   raft_settings settings;
   static_cast<raft_timing&>(settings) = settings_.timing;
   settings.retained_records = settings_.retained_records;
+  settings.retained_bytes = settings_.retained_bytes;
   settings.min_durable_copies = settings_.min_durable_copies;
   replica_.emplace(settings, std::move(stored), settings_.address, random_, now);
   if (snapshot) Restore(*snapshot);
--- a/src/control/internal/raft_log.cc
+++ b/src/control/internal/raft_log.cc
@@ -24,7 +24,7 @@
 
 void raft_log::Append(log_record record) {
   if (record.index <= LastIndex()) TruncateFrom(record.index);
-  bytes_ += SizeOf(record);
+  ends_.push_back(EndOf(LastIndex()) + SizeOf(record));
   if (record.kind == record_kind::kConfiguration) {
     configuration_ = record.configuration;
     configuration_index_ = record.index;
@@ -38,7 +38,7 @@
     DropUpTo(snapshot.index);
   } else {
     records_.clear();
-    bytes_ = 0;
+    ends_.clear();
   }
   base_index_ = snapshot.index;
   base_term_ = snapshot.term;
@@ -47,14 +47,28 @@
   RecomputeConfiguration();
 }
 
-void raft_log::Compact(const log_snapshot& snapshot, uint64_t retained) {
+void raft_log::Compact(const log_snapshot& snapshot, uint64_t retained_records,
+                       uint64_t retained_bytes) {
   snapshot_ = snapshot;
-  if (snapshot.index > base_index_ + retained) DropUpTo(snapshot.index - retained);
+  uint64_t new_base = base_index_;
+  while (new_base < snapshot.index && (snapshot.index - new_base > retained_records ||
+                                       BytesBetween(new_base, snapshot.index) > retained_bytes)) {
+    ++new_base;
+  }
+  DropUpTo(new_base);
+}
+
+uint64_t raft_log::EndOf(uint64_t index) const {
+  return index <= base_index_ ? base_end_ : ends_[index - base_index_ - 1];
+}
+
+uint64_t raft_log::BytesBetween(uint64_t after, uint64_t last) const {
+  return after < last ? EndOf(last) - EndOf(after) : 0;
 }
 
 void raft_log::TruncateFrom(uint64_t index) {
   while (LastIndex() >= index && !records_.empty()) {
-    bytes_ -= SizeOf(records_.back());
+    ends_.pop_back();
     records_.pop_back();
   }
   if (configuration_index_ >= index) RecomputeConfiguration();
@@ -66,7 +80,8 @@
     base_index_ = first.index;
     base_term_ = first.term;
     base_time_ = first.time;
-    bytes_ -= SizeOf(first);
+    base_end_ = ends_.front();
+    ends_.pop_front();
     records_.pop_front();
   }
 }
--- a/src/control/internal/raft_replica.cc
+++ b/src/control/internal/raft_replica.cc
@@ -98,6 +98,10 @@
 
 result<uint64_t> raft_replica::Propose(std::string data, absl::Time now) {
   BOOST_LEAF_CHECK(CheckProposal(now));
+  if (log_.BytesBetween(commit_index_, log_.LastIndex()) >= settings_.max_uncommitted_bytes) {
+    return teaseljunction::Fail(error_kind::kOverloaded,
+                                "The commands that wait for commit are too large.");
+  }
   log_record record;
   record.kind = record_kind::kCommand;
   record.data = std::move(data);
@@ -208,7 +212,7 @@
 }
 
 void raft_replica::Compact(const log_snapshot& snapshot) {
-  log_.Compact(snapshot, settings_.retained_records);
+  log_.Compact(snapshot, settings_.retained_records, settings_.retained_bytes);
 }
 
 void raft_replica::StepDown(absl::Time now) {
--- a/src/control/raft_log.h
+++ b/src/control/raft_log.h
@@ -22,7 +22,9 @@
   uint64_t LastTerm() const { return records_.empty() ? base_term_ : records_.back().term; }
   absl::Time LastTime() const { return records_.empty() ? base_time_ : records_.back().time; }
   /// Size of the records in memory, in bytes.
-  uint64_t Bytes() const { return bytes_; }
+  uint64_t Bytes() const { return BytesBetween(base_index_, LastIndex()); }
+  /// Size of the records in memory with an index above `after` and at most `last`, in bytes.
+  uint64_t BytesBetween(uint64_t after, uint64_t last) const;
 
   /// Returns the term of a record, or nullopt if it is before the base or after the last record.
   absl::optional<uint64_t> TermAt(uint64_t index) const;
@@ -40,8 +42,9 @@
   /// record that the snapshot covers.
   void Install(const log_snapshot& snapshot);
 
-  /// Stores the snapshot and drops all but the last `retained` of the records that it covers.
-  void Compact(const log_snapshot& snapshot, uint64_t retained);
+  /// Stores the snapshot and drops records that it covers, so that at most `retained_records` of
+  /// them are left, with at most `retained_bytes` together.
+  void Compact(const log_snapshot& snapshot, uint64_t retained_records, uint64_t retained_bytes);
 
   const absl::optional<log_snapshot>& Snapshot() const { return snapshot_; }
 
@@ -55,12 +58,16 @@
   void DropUpTo(uint64_t index);
   void RecomputeConfiguration();
   static uint64_t SizeOf(const log_record& record);
+  // Size of all records that were ever appended up to this one and not truncated, in bytes.
+  uint64_t EndOf(uint64_t index) const;
 
   uint64_t base_index_ = 0;
   uint64_t base_term_ = 0;
   absl::Time base_time_ = absl::UnixEpoch();
   std::deque<log_record> records_;
-  uint64_t bytes_ = 0;
+  // `EndOf` the base and each record.
+  uint64_t base_end_ = 0;
+  std::deque<uint64_t> ends_;
   absl::optional<log_snapshot> snapshot_;
   group_configuration configuration_;
   uint64_t configuration_index_ = 0;
--- a/src/control/raft_replica.h
+++ b/src/control/raft_replica.h
@@ -28,9 +28,13 @@
   uint64_t max_in_flight_records = 4096;
   /// Proposals fail with kOverloaded while this many records are uncommitted.
   uint64_t max_uncommitted_records = 20'000;
-  /// Records kept in memory after a snapshot, so that a member that was briefly unreachable can
-  /// catch up without a snapshot.
+  /// Commands fail with kOverloaded while the uncommitted records have this size, in bytes.
+  /// Membership changes are still accepted, since they may be what a commit waits for.
+  uint64_t max_uncommitted_bytes = kMaxUncommittedBytes;
+  /// Largest number and size in bytes of the records kept in memory after a snapshot, so that a
+  /// member that was briefly unreachable can catch up without a snapshot.
   uint64_t retained_records = 1000;
+  uint64_t retained_bytes = kRetainedBytes;
   /// Number of voters that must have stored a record before it is committed, or all voters if there
   /// are fewer. A majority is required in any case. This bounds the number of data directories that
   /// may be lost at once.
--- a/src/control/tests/mocks/simulated_group.cc
+++ b/src/control/tests/mocks/simulated_group.cc
@@ -1,6 +1,7 @@
 #include "control/tests/mocks/simulated_group.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -18,6 +19,13 @@
 constexpr double kMaxClockDrift = 0.01;
 constexpr size_t kMaxInboxMessages = 500;
 constexpr absl::string_view kDataCentre = "centre";
+constexpr size_t kMaxKeptDataBytes = 4096;
+
+// Replaces large commands by their size and hash, so that many of them can be remembered.
+std::string Shortened(const std::string& data) {
+  if (data.size() <= kMaxKeptDataBytes) return data;
+  return absl::StrCat("size ", data.size(), ", hash ", std::hash<std::string>()(data));
+}
 
 }  // namespace
 
@@ -282,7 +290,7 @@
   proposal.completion = [this, is_change, data = proposal.data,
                          completion = std::move(completion)](propose_response response) mutable {
     const bool accepted = response.from_leader && response.result.applied;
-    if (accepted && !is_change && committed_data_.count(data) == 0) {
+    if (accepted && !is_change && committed_data_.count(Shortened(data)) == 0) {
       FailInvariant("an accepted command is not in the log");
     }
     completion(std::move(response));
@@ -328,6 +336,7 @@
 
 void simulated_group::CheckMember(node_state& node) {
   const raft_replica& replica = node.core->Replica();
+  max_log_bytes_ = std::max(max_log_bytes_, replica.LogBytes());
   if (replica.IsLeader()) {
     const auto [known, added] =
         leader_of_term_.emplace(replica.State().term, replica.State().member_id);
@@ -335,11 +344,12 @@
   }
   for (const log_record& record : replica.RecordsAfter(node.checked_index)) {
     if (record.index > replica.CommitIndex()) break;
+    const std::string data = Shortened(record.data);
     const auto [known, added] =
-        committed_.emplace(record.index, committed_record{record.term, record.data});
-    const bool equal = known->second.term == record.term && known->second.data == record.data;
+        committed_.emplace(record.index, committed_record{record.term, data});
+    const bool equal = known->second.term == record.term && known->second.data == data;
     if (!equal) FailInvariant(absl::StrCat("different committed records at ", record.index));
-    if (added) committed_data_.insert(record.data);
+    if (added) committed_data_.insert(data);
     node.checked_index = record.index;
   }
 }
--- a/src/control/tests/mocks/simulated_group.h
+++ b/src/control/tests/mocks/simulated_group.h
@@ -99,6 +99,9 @@
   }
   seeded_random_source& Random() { return random_; }
 
+  /// Largest size of the log in memory that any member had after a batch, in bytes.
+  uint64_t MaxLogBytes() const { return max_log_bytes_; }
+
   network_faults faults;
   bool generate_load = true;
 
@@ -168,6 +171,7 @@
   std::map<uint64_t, uint64_t> leader_of_term_;
   std::map<uint64_t, committed_record> committed_;
   std::set<std::string> committed_data_;
+  uint64_t max_log_bytes_ = 0;
   uint64_t accepted_version_ = 0;
   uint64_t next_command_ = 1;
   std::map<std::string, std::string> claim_holder_;
--- a/src/control/types.h
+++ b/src/control/types.h
@@ -23,6 +23,20 @@
   absl::Duration leader_lease = absl::Milliseconds(400);
 };
 
+/// Largest encoded command, in bytes.
+constexpr uint64_t kMaxCommandBytes = 4 * 1024 * 1024;
+/// A snapshot is taken when the records applied since the last one have this size, in bytes.
+constexpr uint64_t kSnapshotAfterBytes = 8 * 1024 * 1024;
+/// Largest size of the records that stay in memory after a snapshot, in bytes.
+constexpr uint64_t kRetainedBytes = 8 * 1024 * 1024;
+/// Size of uncommitted records at which a leader accepts no further proposals, in bytes.
+constexpr uint64_t kMaxUncommittedBytes = 16 * 1024 * 1024;
+/// Largest size of the log in memory of a member with the default settings, in bytes, while its
+/// disk accepts snapshots and the last one is no larger than `kSnapshotAfterBytes`. The limits are
+/// checked before a record is added, so one command may exceed each of the last two.
+constexpr uint64_t kMaxLogBytes =
+    kRetainedBytes + kSnapshotAfterBytes + kMaxUncommittedBytes + 2 * kMaxCommandBytes;
+
 /// Puts a manifest in force. `content` is its text in the format of the deployment, and `digest` is
 /// the digest of `content`.
 struct submit_manifest {
