--- a/src/control/tests/mocks/simulated_group.cc
+++ b/src/control/tests/mocks/simulated_group.cc
@@ -1,6 +1,7 @@
 #include "control/tests/mocks/simulated_group.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -18,6 +19,13 @@
 constexpr double kMaxClockDrift = 0.01;
 constexpr size_t kMaxInboxMessages = 500;
 constexpr absl::string_view kDataCentre = "centre";
+constexpr size_t kMaxKeptDataBytes = 4096;
+
+// Replaces large commands by their size and hash, so that many of them can be remembered.
+std::string Shortened(const std::string& data) {
+  if (data.size() <= kMaxKeptDataBytes) return data;
+  return absl::StrCat("size ", data.size(), ", hash ", std::hash<std::string>()(data));
+}
 
 }  // namespace
 
@@ -67,6 +75,13 @@
 }
 
 void simulated_group::Kill(int number) {
+  EndProcess(number);
+  memory_file_system& disk = Disk(number);
+  const bool only_process = !disk.HasLostData() && random_.Below(2) == 0;
+  only_process ? disk.ClearFaults() : disk.Crash();
+}
+
+void simulated_group::EndProcess(int number) {
   node_state& node = nodes_[static_cast<size_t>(number)];
   node.core.reset();
   node.journal.reset();
@@ -76,8 +91,6 @@
   node.remaining_sends = UINT64_MAX;
   node.kill_on_disk_fault = false;
   node.frozen_until = absl::InfinitePast();
-  const bool only_process = !node.disk->HasLostData() && random_.Below(2) == 0;
-  only_process ? node.disk->ClearFaults() : node.disk->Crash();
 }
 
 void simulated_group::KillWithinBatch(int number) {
@@ -277,7 +290,7 @@
   proposal.completion = [this, is_change, data = proposal.data,
                          completion = std::move(completion)](propose_response response) mutable {
     const bool accepted = response.from_leader && response.result.applied;
-    if (accepted && !is_change && committed_data_.count(data) == 0) {
+    if (accepted && !is_change && committed_data_.count(Shortened(data)) == 0) {
       FailInvariant("an accepted command is not in the log");
     }
     completion(std::move(response));
@@ -323,6 +336,7 @@
 
 void simulated_group::CheckMember(node_state& node) {
   const raft_replica& replica = node.core->Replica();
+  max_log_bytes_ = std::max(max_log_bytes_, replica.LogBytes());
   if (replica.IsLeader()) {
     const auto [known, added] =
         leader_of_term_.emplace(replica.State().term, replica.State().member_id);
@@ -330,11 +344,12 @@
   }
   for (const log_record& record : replica.RecordsAfter(node.checked_index)) {
     if (record.index > replica.CommitIndex()) break;
+    const std::string data = Shortened(record.data);
     const auto [known, added] =
-        committed_.emplace(record.index, committed_record{record.term, record.data});
-    const bool equal = known->second.term == record.term && known->second.data == record.data;
+        committed_.emplace(record.index, committed_record{record.term, data});
+    const bool equal = known->second.term == record.term && known->second.data == data;
     if (!equal) FailInvariant(absl::StrCat("different committed records at ", record.index));
-    if (added) committed_data_.insert(record.data);
+    if (added) committed_data_.insert(data);
     node.checked_index = record.index;
   }
 }
--- a/src/control/tests/mocks/simulated_group.h
+++ b/src/control/tests/mocks/simulated_group.h
@@ -57,6 +57,8 @@
 
   /// Ends the process, or the host with its unsynced data.
   void Kill(int node);
+  /// Ends the process only. Its disk keeps all data.
+  void EndProcess(int node);
   void Restart(int node);
   /// Kills a member during one of its next disk operations or before one of its next messages.
   void KillWithinBatch(int node);
@@ -97,6 +99,9 @@
   }
   seeded_random_source& Random() { return random_; }
 
+  /// Largest size of the log in memory that any member had after a batch, in bytes.
+  uint64_t MaxLogBytes() const { return max_log_bytes_; }
+
   network_faults faults;
   bool generate_load = true;
 
@@ -166,6 +171,7 @@
   std::map<uint64_t, uint64_t> leader_of_term_;
   std::map<uint64_t, committed_record> committed_;
   std::set<std::string> committed_data_;
+  uint64_t max_log_bytes_ = 0;
   uint64_t accepted_version_ = 0;
   uint64_t next_command_ = 1;
   std::map<std::string, std::string> claim_holder_;
