--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "absl/strings/str_format.h"
 #include "balancer/internal/balancer_state.h"
 #include "balancer/internal/planned_choice.h"
 #include "balancer/internal/selection_request.h"
@@ -33,6 +34,8 @@
 constexpr double kCrowdedLoad = 0.75;
 constexpr double kMinLoadGain = 0.15;
 
+constexpr double kMillisecondsPerSecond = 1000;
+
 // Targets of one group that a call may be sent to.
 class candidate_list {
  public:
@@ -132,11 +135,15 @@
   service.spill.Update(SpillInputsOf(service, now), now);
   if (!service.spill.TakeLogDue(now)) return;
   const spill_inputs& inputs = service.spill.Inputs();
-  LOG(INFO) << "balancer: service " << name << " sends a share of " << service.spill.Share()
-            << " to other data centres; load local " << inputs.local_load.value_or(-1) << " remote "
-            << inputs.remote_load.value_or(-1) << ", latency local "
-            << absl::Seconds(inputs.local_latency) << " remote "
-            << absl::Seconds(inputs.remote_latency);
+  const auto format = [](absl::optional<double> load) {
+    return load ? absl::StrFormat("%.2f", *load) : std::string("unknown");
+  };
+  LOG(INFO) << absl::StrFormat(
+      "balancer: service %s sends %.2f of its calls to other data centres; load %s here, %s there; "
+      "latency %.1f ms here, %.1f ms there.",
+      name, service.spill.Share(), format(inputs.local_load), format(inputs.remote_load),
+      inputs.local_latency * kMillisecondsPerSecond,
+      inputs.remote_latency * kMillisecondsPerSecond);
 }
 
 }  // namespace
--- a/src/balancer/internal/planned_choice.cc
+++ b/src/balancer/internal/planned_choice.cc
@@ -28,10 +28,9 @@
 
 // Returns the relative probability with which the target is drawn. Drawing, in place of choosing
 // the best target, keeps daemons that have the same reports from all choosing the same one.
-double DrawWeight(const service_state& service, const target_state& target, absl::Time now) {
-  const double load =
-      std::clamp(CredibleLoad(service, target, now).value_or(kIdleLoad), kIdleLoad, kMaxLoad);
-  const double crowding = 1 + load;
+double DrawWeight(const service_state& service, const target_state& target, double load,
+                  absl::Time now) {
+  const double crowding = 1 + std::clamp(load, kIdleLoad, kMaxLoad);
   const double slots = std::max<double>(target.target.slots, 1);
   return slots * target.RampFactor(now) /
          (service.Expected(target, now) * crowding * crowding * crowding *
@@ -46,7 +45,7 @@
   for (const target_state* target : group.targets) {
     const auto load = CredibleLoad(service, *target, now);
     if (target->Ejected(now) || !load) continue;
-    const double weight = DrawWeight(service, *target, now);
+    const double weight = DrawWeight(service, *target, *load, now);
     loads += weight * *load;
     weights += weight;
   }
@@ -54,21 +53,41 @@
   return loads / weights;
 }
 
-target_state* Draw(const selection_request& request, const target_group& group,
-                   fast_random& random) {
-  absl::InlinedVector<std::pair<double, target_state*>, 32> candidates;
-  double sum = 0;
-  for (target_state* target : group.targets) {
-    if (!request.Usable(*target) || request.Excluded(*target)) continue;
-    sum += DrawWeight(request.service, *target, request.now);
-    candidates.emplace_back(sum, target);
+// Targets of one group that a call may be sent to, with their weights.
+class weighted_candidates {
+ public:
+  // `group_load` is used for targets without a valid report.
+  weighted_candidates(const selection_request& request, const target_group& group,
+                      double group_load) {
+    for (target_state* target : group.targets) {
+      if (!request.Usable(*target) || request.Excluded(*target)) continue;
+      const double load = CredibleLoad(request.service, *target, request.now).value_or(group_load);
+      weight_sum_ += DrawWeight(request.service, *target, load, request.now);
+      candidates_.push_back({target, weight_sum_});
+    }
   }
-  const double drawn = random.Fraction() * sum;
-  for (const auto& [upper, target] : candidates) {
-    if (drawn < upper) return target;
+
+  // Returns one of them, drawn by weight, or null without candidates. The less loaded one of two
+  // draws led to more waiting in the simulation, since daemons agree on it until the next report.
+  target_state* Pick(fast_random& random) const {
+    if (candidates_.empty()) return nullptr;
+    const double drawn = random.Fraction() * weight_sum_;
+    const auto found =
+        std::upper_bound(candidates_.begin(), candidates_.end() - 1, drawn,
+                         [](double value, const candidate& entry) { return value < entry.upper; });
+    return found->target;
   }
-  return candidates.empty() ? nullptr : candidates.back().second;
-}
+
+ private:
+  struct candidate {
+    target_state* target;
+    // Sum of the weights up to this candidate.
+    double upper;
+  };
+
+  absl::InlinedVector<candidate, 20> candidates_;
+  double weight_sum_ = 0;
+};
 
 }  // namespace
 
@@ -82,10 +101,14 @@
   const spill_inputs& inputs = service.spill.Inputs();
   if (!inputs.local_load && !inputs.remote_load) return nullptr;
   const bool prefer_remote = random.Fraction() < service.spill.Share();
-  const target_group& preferred = prefer_remote ? service.remote : service.local;
-  target_state* choice = Draw(request, preferred, random);
+  const auto pick = [&](const target_group& group, absl::optional<double> load) {
+    return weighted_candidates(request, group, load.value_or(kIdleLoad)).Pick(random);
+  };
+  target_state* choice = prefer_remote ? pick(service.remote, inputs.remote_load)
+                                       : pick(service.local, inputs.local_load);
   if (choice != nullptr) return choice;
-  return Draw(request, prefer_remote ? service.local : service.remote, random);
+  return prefer_remote ? pick(service.local, inputs.local_load)
+                       : pick(service.remote, inputs.remote_load);
 }
 
 }  // namespace teaseljunction
--- a/src/balancer/internal/spill_control.cc
+++ b/src/balancer/internal/spill_control.cc
@@ -34,6 +34,10 @@
 // Speed at which calls return while there are no reports of local targets, because few calls stay.
 constexpr double kUnknownLocalImbalance = -0.05;
 
+// Least change of the share that is logged, and least time between two log lines.
+constexpr double kLoggedChange = 0.1;
+constexpr absl::Duration kLogInterval = absl::Seconds(1);
+
 // Returns by how much the reported loads raise the share.
 double LoadImbalance(const spill_inputs& inputs, double share) {
   if (!inputs.local_load) return inputs.remote_load ? kUnknownLocalImbalance : -1;
@@ -72,8 +76,6 @@
 }
 
 bool spill_control::TakeLogDue(absl::Time now) {
-  constexpr double kLoggedChange = 0.1;
-  constexpr absl::Duration kLogInterval = absl::Seconds(1);
   const double change = share_ - logged_share_;
   if (change <= kLoggedChange && change >= -kLoggedChange) return false;
   if (now >= logged_at_ && now - logged_at_ < kLogInterval) return false;
--- a/src/balancer/tests/mocks/service_simulation.h
+++ b/src/balancer/tests/mocks/service_simulation.h
@@ -15,7 +15,7 @@
 
 namespace teaseljunction {
 
-/// Number of data centres, each with one target.
+/// Number of data centres.
 constexpr size_t kPlaces = 3;
 
 /// What callers and targets saw in one run.
@@ -28,14 +28,14 @@
   /// Fraction of the calls that left their data centre.
   double remote = 0;
   /// Calls per target, as a fraction of all calls.
-  std::array<double, kPlaces> share = {};
+  std::vector<double> share;
   /// Mean of the running and waiting calls per slot, and its standard deviation in steps of 100 ms.
-  std::array<double, kPlaces> load = {};
-  std::array<double, kPlaces> swing = {};
+  std::vector<double> load;
+  std::vector<double> swing;
 };
 
-/// 100 daemons with a balancer each, in three data centres with one target each, in virtual time.
-/// Targets have FIFO queues. Daemons learn of the load from the responses only.
+/// 100 daemons with a balancer each, in three data centres with the same number of targets each, in
+/// virtual time. Targets have FIFO queues. Daemons learn of the load from the responses only.
 class service_simulation {
  public:
   static constexpr size_t kDaemons = 100;
@@ -56,11 +56,12 @@
   };
 
   /// `wave` is the amplitude of the demand in relation to its mean; `period` is in seconds.
-  service_simulation(uint64_t seed, bool planned, double wave, double period)
-      : random_(seed), wave_(wave), period_(period) {
+  service_simulation(uint64_t seed, bool planned, double wave, double period,
+                     size_t targets_per_place = 1)
+      : targets(kPlaces * targets_per_place), random_(seed), wave_(wave), period_(period) {
     std::vector<balancer_target> announced;
-    for (size_t i = 0; i < kPlaces; ++i) {
-      announced.push_back(MakeTarget(i, Place(i)));
+    for (size_t i = 0; i < targets.size(); ++i) {
+      announced.push_back(MakeTarget(i, Place(i % kPlaces)));
       announced.back().slots = static_cast<uint32_t>(kSlots);
     }
     for (size_t i = 0; i < kDaemons; ++i) {
@@ -72,8 +73,7 @@
       daemons_.back().SetPlanned(planned);
       daemons_.back().SetTargets(announced, start_);
     }
-    targets[0].speed = 0.5;
-    targets[2].speed = 1.5;
+    for (size_t i = 0; i < targets.size(); ++i) targets[i].speed = 0.5 + 0.5 * (i % kPlaces);
   }
 
   /// Sets the demand of each data centre to a fraction of the capacity of an average target.
@@ -85,13 +85,13 @@
   simulation_result Run(double seconds) {
     waits_.clear();
     calls_ = failed_ = remote_ = 0;
-    sent_.fill(0);
+    sent_.assign(targets.size(), 0);
     const double end = now_ + seconds;
     for (size_t place = 0; place < kPlaces; ++place) At(now_, [=, this] { Arrive(place, end); });
-    std::array<std::vector<double>, kPlaces> loads;
+    std::vector<std::vector<double>> loads(targets.size());
     for (double at = now_; at < end; at += 0.1) {
       At(at, [this, &loads] {
-        for (size_t i = 0; i < kPlaces; ++i) loads[i].push_back(targets[i].Load());
+        for (size_t i = 0; i < targets.size(); ++i) loads[i].push_back(targets[i].Load());
       });
     }
     while (!events_.empty() && events_.begin()->first < end) {
@@ -103,7 +103,7 @@
     return Summarize(loads);
   }
 
-  std::array<fake_target, kPlaces> targets;
+  std::vector<fake_target> targets;
   /// Seconds that one call takes at a target of speed 1.
   double work = 0.036;
   absl::Duration target_latency = absl::Milliseconds(1200);
@@ -135,12 +135,12 @@
     ++sent_[chosen];
     if (choice->other_data_centre) ++remote_;
     const double sent_at = now_;
-    if (targets[chosen].cut_off && place != chosen) {
+    if (targets[chosen].cut_off && place != chosen % kPlaces) {
       ++failed_;
       At(now_ + 0.2, [=, this] { Finish(index, chosen, sent_at, attempt_result::kFailed, 0); });
       return;
     }
-    At(now_ + Delay(place, chosen), [=, this] { Enqueue(index, chosen, sent_at); });
+    At(now_ + Delay(place, chosen % kPlaces), [=, this] { Enqueue(index, chosen, sent_at); });
   }
 
   void Enqueue(size_t daemon, size_t chosen, double sent_at) {
@@ -152,7 +152,7 @@
         StartNext(chosen);
         const fake_target& target = targets[chosen];
         const double load = target.Load() * target.report_factor;
-        At(now_ + Delay(daemon % kPlaces, chosen),
+        At(now_ + Delay(daemon % kPlaces, chosen % kPlaces),
            [=, this] { Finish(daemon, chosen, sent_at, attempt_result::kAnswered, load); });
       });
     });
@@ -174,15 +174,17 @@
     if (targets[chosen].reports) daemons_[daemon].ReportLoad(id, load, Now());
   }
 
-  simulation_result Summarize(const std::array<std::vector<double>, kPlaces>& loads) {
+  simulation_result Summarize(const std::vector<std::vector<double>>& loads) {
     simulation_result seen;
     std::sort(waits_.begin(), waits_.end());
     for (const double wait : waits_) seen.mean_wait += wait / static_cast<double>(waits_.size());
     if (!waits_.empty()) seen.p99_wait = waits_[waits_.size() * 99 / 100];
     seen.failed = failed_ / calls_;
     seen.remote = remote_ / calls_;
-    for (size_t i = 0; i < kPlaces; ++i) {
-      seen.share[i] = sent_[i] / calls_;
+    for (size_t i = 0; i < targets.size(); ++i) {
+      seen.share.push_back(sent_[i] / calls_);
+      seen.load.push_back(0);
+      seen.swing.push_back(0);
       const auto count = static_cast<double>(loads[i].size());
       for (const double load : loads[i]) seen.load[i] += load / count;
       for (const double load : loads[i])
@@ -203,7 +205,7 @@
   double calls_ = 0;
   double failed_ = 0;
   double remote_ = 0;
-  std::array<double, kPlaces> sent_ = {};
+  std::vector<double> sent_;
 };
 
 }  // namespace teaseljunction
--- a/src/balancer/tests/spill_simulation_test.cc
+++ b/src/balancer/tests/spill_simulation_test.cc
@@ -76,6 +76,29 @@
   }
 }
 
+// Guards against daemons that know the load of few of the many targets, since each of them makes
+// few calls, and send too many calls to those whose load they do not know.
+TEST_CASE("100 daemons spread calls over 21 targets without leaving their data centre") {
+  for (const double work : {0.036, 0.36}) {
+    CAPTURE(work);
+    simulation_result seen[2];
+    for (const bool planned : {false, true}) {
+      service_simulation simulation(1, planned, 0, 8, 7);
+      simulation.work = work;
+      for (size_t i = 0; i < simulation.targets.size(); ++i) {
+        simulation.targets[i].speed = i / kPlaces % 2 == 0 ? 1.4 : 0.6;
+      }
+      simulation.SetDemand(5.6);
+      simulation.Run(kSettlingSeconds);
+      seen[planned ? 1 : 0] = simulation.Run(10);
+    }
+    CHECK(LoadRange(seen[1]) < 0.12);
+    CHECK(seen[1].p99_wait < 0.1 * work);
+    CHECK(seen[1].remote < 0.1);
+    CHECK(seen[0].remote > 0.2);
+  }
+}
+
 // Guards against a target that gets more calls than its latency justifies because it claims to be
 // idle, and against one that is starved because it claims to be crowded.
 TEST_CASE("a false load report neither floods nor starves a target") {
@@ -85,8 +108,8 @@
     simulation.targets[2].speed = 0.5;
     simulation.targets[2].report_factor = 0;
     const simulation_result idle = simulation.Run(20);
-    CHECK(idle.load[2] < 3);
-    CHECK(idle.mean_wait < 0.06);
+    CHECK(idle.load[2] < 2.3);
+    CHECK(idle.mean_wait < 0.03);
     CHECK(idle.load[0] < 0.95);
     CHECK(idle.load[1] < 0.95);
 
--- a/src/gateway/call_header_names.h
+++ b/src/gateway/call_header_names.h
@@ -26,8 +26,8 @@
   std::string target_id;
   /// Header of a health probe response that contains the id of the target's process.
   std::string reported_target_id;
-  /// Response header that contains the target's running calls, waiting calls and slots, separated
-  /// by commas.
+  /// Response header that contains the target's running calls, waiting calls, slots and, from some
+  /// targets, pace, separated by commas (see `ParseLoadHeader`).
   std::string reported_load;
   /// Header that every response of a target contains. A successful response without it did not come
   /// from the target.
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -120,6 +120,7 @@
     } else if (joined) {
       HandleTargetLoss(now);
       admission_.ResetForColdTarget(now);
+      pace_ = target_pace();
     }
     if (joined) {
       LOG(INFO) << "membership: target of service " << announced.service << " at "
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -545,4 +545,38 @@
   CHECK(fixture.executor.Status().running == 0);
 }
 
+// Guards against a slow host whose load looks like that of any other host with as many calls, and
+// against a change of the load that is reported with reactive overload control.
+TEST_CASE("with planned overload control, the reported load is multiplied by the pace") {
+  struct row {
+    overload_control_mode mode;
+    const char* figures;
+    double factor;
+    bool pace_exported;
+  };
+  const row rows[] = {{overload_control_mode::kReactive, "1,0,8,250", 1, false},
+                      {overload_control_mode::kPlanned, "1,0,8,250", 1.5, true},
+                      {overload_control_mode::kPlanned, "1,0,8,50", 1, true},
+                      {overload_control_mode::kPlanned, "1,0,8,wrong", 1, false},
+                      {overload_control_mode::kPlanned, "1,0,8", 1, false}};
+  for (const row& expected : rows) {
+    CAPTURE(expected.figures);
+    executor_fixture fixture;
+    fixture.headers.reported_load = "Load";
+    fixture.executor.SetOverloadControl(expected.mode);
+    fixture.Send("first");
+    fixture.Send("second");
+    fixture.Send("third");
+    fixture.time.AdvanceBy(absl::Milliseconds(36));
+    fixture.client.End(1, http_response{200, {{"Load", expected.figures}}, ""});
+    const double limit = static_cast<double>(fixture.executor.Status().concurrency_limit);
+    CHECK(fixture.results.back().load == Approx(expected.factor * 2 / limit));
+    CHECK(fixture.executor.FormatPrometheus().empty() != expected.pace_exported);
+    // A figure expires, also when a later response comes without one.
+    fixture.time.AdvanceBy(absl::Milliseconds(1001));
+    fixture.client.End(2, http_response{200, {}, ""});
+    CHECK(fixture.results.back().load == Approx(1 / limit));
+  }
+}
+
 }  // namespace teaseljunction
