Follow the load difference more, and its integral less, in the remote share

With old load reports the integral made the load of the slowest target swing once calls queued. The proportional gain is now 3 in place of 1.5 and the integral gain 1.5 in place of 4 per second, and the share changes by at most 0.08 in 20 ms. A service without remote targets has no latency ratio.

--- a/src/balancer/internal/planned_choice.cc
+++ b/src/balancer/internal/planned_choice.cc
@@ -92,8 +92,12 @@
 }  // namespace
 
 spill_inputs SpillInputsOf(const service_state& service, absl::Time now) {
+  const double local_latency = service.Expected(service.local, now);
+  // Without remote targets, the latency of the group is only the mean of the service.
+  const double remote_latency =
+      service.remote.targets.empty() ? local_latency : service.Expected(service.remote, now);
   return {GroupLoad(service, service.local, now), GroupLoad(service, service.remote, now),
-          service.Expected(service.local, now), service.Expected(service.remote, now)};
+          local_latency, remote_latency};
 }
 
 target_state* PickPlannedTarget(const selection_request& request, fast_random& random) {
--- a/src/balancer/internal/spill_control.cc
+++ b/src/balancer/internal/spill_control.cc
@@ -22,10 +22,12 @@
 // The share is the sum of a part that follows the load difference and of its integral. Without the
 // first part, the share oscillates once calls queue, because the load of a queue is the integral of
 // the share. One unit of share changes the load difference by up to 3 without a queue.
-constexpr double kProportionalGain = 1.5;
-constexpr double kIntegralGainPerSecond = 4;
-// Bounds of the load difference, and thereby of the speed at which the share changes.
+constexpr double kProportionalGain = 3;
+constexpr double kIntegralGainPerSecond = 1.5;
+// Bound of the load difference, and thereby of the integral's change.
 constexpr double kMaxImbalance = 1;
+// Bound of the change of the share per second.
+constexpr double kMaxChangePerSecond = 4;
 
 // Ratios of the remote to the local latency which the loads do not explain, since usual speeds
 // differ by up to 3: below the first, calls leave at any load; above the second, they return.
@@ -65,14 +67,17 @@
 
 void spill_control::Update(const spill_inputs& inputs, absl::Time now) {
   if (!UpdateDue(now)) return;
+  const bool measurable = updated_at_ != absl::InfinitePast() && now >= updated_at_;
   const absl::Duration elapsed =
-      now < updated_at_ ? kMinUpdateInterval : std::min(now - updated_at_, kMaxUpdateInterval);
+      measurable ? std::min(now - updated_at_, kMaxUpdateInterval) : kMinUpdateInterval;
   updated_at_ = now;
   inputs_ = inputs;
   const double imbalance = Imbalance(inputs, integral_);
   const double change = kIntegralGainPerSecond * imbalance * absl::ToDoubleSeconds(elapsed);
   integral_ = std::clamp(integral_ + change, 0.0, kMaxShare);
-  share_ = std::clamp(integral_ + kProportionalGain * imbalance, 0.0, kMaxShare);
+  const double wanted = std::clamp(integral_ + kProportionalGain * imbalance, 0.0, kMaxShare);
+  const double max_step = kMaxChangePerSecond * absl::ToDoubleSeconds(elapsed);
+  share_ = std::clamp(wanted, share_ - max_step, share_ + max_step);
 }
 
 bool spill_control::TakeLogDue(absl::Time now) {
