--- a/src/http/tests/raw_socket.h
+++ b/src/http/tests/raw_socket.h
@@ -29,6 +29,8 @@
   /// Reads until the peer closes or no data arrives for ten seconds.
   std::string ReadAll() const { return ReadUntil(std::string(1, '\0') + "never"); }
   void Close();
+  /// Returns the descriptor, which the caller has to close.
+  int Release() { return std::exchange(fd_, -1); }
   /// Closes the connection with a reset.
   void Reset();
 
