Account the memory of requests, and read large bodies in turn

Cause: every connection could fill a body buffer of the allowed size, the parser reserved the announced length, chunked bodies grew by doubling, and each running request held further copies. Nothing bounded the sum, so a crowd of large bodies ended the process.

A connection whose body is larger than 16 KiB is read only once what the body needs fits; otherwise it stands in line. While one has waited for 250 ms, the largest body whose client has sent nothing for 1 s is refused with 503 (not run). When all incomplete bodies wait for each other, the first in line may exceed the limit. A request starts once three further copies of its body fit as well. An incomplete body without input for 10 s loses its connection. The operators' /metrics has the account.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -116,6 +116,8 @@
   call_context_table contexts_{random_};
   call_graph call_graph_;
   event_loop loop_{clock_};
+  // Shared by all HTTP servers.
+  const std::shared_ptr<request_memory> request_memory_;
   std::unique_ptr<rpc_peer_client> peers_;
   std::unique_ptr<curl_client> client_;
   leader_locator locator_;
@@ -151,6 +153,7 @@
     : settings_(std::move(settings)),
       resolver_(std::move(resolver)),
       decode_(std::move(decode)),
+      request_memory_(std::make_shared<request_memory>(settings_.max_request_memory)),
       peers_(rpc_peer_client_builder()
                  .Threads(settings_.rpc_threads)
                  .Loop(LoopFor(settings_.rpc_threads))
@@ -253,6 +256,7 @@
                       .Threads(settings_.http_threads)
                       .Loop(LoopFor(settings_.http_threads))
                       .MaxBodyBytes(settings_.max_body_bytes)
+                      .Memory(request_memory_)
                       .DrainLinger(settings_.idle_connection_linger)
                       .Handler(entry_.get())
                       .Build();
@@ -262,6 +266,7 @@
                           .Threads(1)
                           .Loop(LoopFor(settings_.http_threads))
                           .MaxConnections(64)
+                          .Memory(request_memory_)
                           .Handler(operator_handler_.get())
                           .Build();
   BOOST_LEAF_CHECK(operators_server_->Start());
@@ -272,8 +277,8 @@
   BOOST_LEAF_CHECK(StartControl());
   node_ = std::make_unique<daemon_node>(clock_, *executor_, config_, *sync_, member_.get(),
                                         leader_service_.get());
-  operator_handler_ = std::make_unique<operator_handler>(clock_, *node_, *leader_client_, metrics_,
-                                                         [this] { RequestStop(); });
+  operator_handler_ = std::make_unique<operator_handler>(
+      clock_, *node_, *leader_client_, metrics_, [this] { RequestStop(); }, request_memory_.get());
   BOOST_LEAF_CHECK(StartServers());
   return {};
 }
@@ -289,6 +294,7 @@
                     .Loop(LoopFor(settings_.http_threads))
                     .MaxBodyBytes(settings_.max_body_bytes)
                     .MaxConnections(kMaxAdditionalListenerConnections)
+                    .Memory(request_memory_)
                     .Handler(&handler)
                     .Build();
   BOOST_LEAF_CHECK(server->Start());
--- a/src/daemon/internal/operator_handler.cc
+++ b/src/daemon/internal/operator_handler.cc
@@ -136,12 +136,14 @@
 
 operator_handler::operator_handler(const clock_source& clock, node_service& node,
                                    control_client& control, const call_metrics& metrics,
-                                   absl::AnyInvocable<void()> begin_drain)
+                                   absl::AnyInvocable<void()> begin_drain,
+                                   const request_memory* memory)
     : clock_(clock),
       node_(node),
       control_(control),
       metrics_(metrics),
-      begin_drain_(std::move(begin_drain)) {}
+      begin_drain_(std::move(begin_drain)),
+      memory_(memory) {}
 
 void operator_handler::Handle(http_request request, std::shared_ptr<http_exchange> exchange) {
   error_kind failure = error_kind::kNotFound;
@@ -224,8 +226,9 @@
 }
 
 void operator_handler::GetMetrics(const http_request&, exchange_pointer exchange) {
-  exchange->Respond(
-      {kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.FormatPrometheus()});
+  std::string metrics = metrics_.FormatPrometheus();
+  if (memory_ != nullptr) metrics += memory_->FormatPrometheus();
+  exchange->Respond({kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(metrics)});
 }
 
 }  // namespace teaseljunction
--- a/src/daemon/internal/settings.cc
+++ b/src/daemon/internal/settings.cc
@@ -51,6 +51,9 @@
 ABSL_FLAG(
     uint64_t, max_answer_memory, 32 << 20,
     "memory for all answers of the target that are being received, 4194304 to 1073741824 bytes");
+ABSL_FLAG(uint64_t, max_request_memory, 128 << 20,
+          "memory for bodies of requests, 1048576 to 4294967296 bytes and not below "
+          "--max_body_bytes");
 ABSL_FLAG(std::string, log_file, "", "file for the log; empty for the standard output");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
@@ -64,6 +67,8 @@
 constexpr uint64_t kMaxBodyBytes = 64 << 20;
 constexpr uint64_t kMinAnswerMemory = 4 << 20;
 constexpr uint64_t kMaxAnswerMemory = 1 << 30;
+constexpr uint64_t kMinRequestMemory = 1 << 20;
+constexpr uint64_t kMaxRequestMemory = uint64_t{4} << 30;
 constexpr size_t kMaxNameBytes = 64;
 // Flags that can also be set by environment variables.
 constexpr absl::string_view kFlagNames[] = {"listen",
@@ -83,6 +88,7 @@
                                             "client_threads",
                                             "max_body_bytes",
                                             "max_answer_memory",
+                                            "max_request_memory",
                                             "log_file",
                                             "log_level",
                                             "control_voters",
@@ -181,8 +187,13 @@
   BOOST_LEAF_CHECK(Require(settings.max_answer_memory >= kMinAnswerMemory &&
                                settings.max_answer_memory <= kMaxAnswerMemory,
                            "max_answer_memory", "must be from 4194304 to 1073741824."));
-  return Require(settings.max_body_bytes >= 1 && settings.max_body_bytes <= kMaxBodyBytes,
-                 "max_body_bytes", "must be from 1 to 67108864.");
+  BOOST_LEAF_CHECK(Require(settings.max_body_bytes >= 1 && settings.max_body_bytes <= kMaxBodyBytes,
+                           "max_body_bytes", "must be from 1 to 67108864."));
+  return Require(settings.max_request_memory >= kMinRequestMemory &&
+                     settings.max_request_memory <= kMaxRequestMemory &&
+                     settings.max_request_memory >= settings.max_body_bytes,
+                 "max_request_memory",
+                 "must be from 1048576 to 4294967296 and not below --max_body_bytes.");
 }
 
 daemon_settings SettingsFromFlags() {
@@ -210,6 +221,7 @@
   settings.client_threads = absl::GetFlag(FLAGS_client_threads);
   settings.max_body_bytes = absl::GetFlag(FLAGS_max_body_bytes);
   settings.max_answer_memory = absl::GetFlag(FLAGS_max_answer_memory);
+  settings.max_request_memory = absl::GetFlag(FLAGS_max_request_memory);
   settings.log = {absl::GetFlag(FLAGS_log_file), absl::GetFlag(FLAGS_log_level)};
   return settings;
 }
--- a/src/daemon/operator_handler.h
+++ b/src/daemon/operator_handler.h
@@ -9,6 +9,7 @@
 #include "gateway/call_metrics.h"
 #include "gateway/control_client.h"
 #include "http/http_handler.h"
+#include "http/request_memory.h"
 #include "rpc/node_service.h"
 
 namespace teaseljunction {
@@ -17,10 +18,11 @@
 /// shutdown. Thread-safe.
 class operator_handler : public http_handler {
  public:
-  /// `begin_drain` starts the planned shutdown and returns immediately. All references must outlive
-  /// the handler.
+  /// `begin_drain` starts the planned shutdown and returns immediately. The metrics include those
+  /// of `memory` if it is not null. All references must outlive the handler.
   operator_handler(const clock_source& clock, node_service& node, control_client& control,
-                   const call_metrics& metrics, absl::AnyInvocable<void()> begin_drain);
+                   const call_metrics& metrics, absl::AnyInvocable<void()> begin_drain,
+                   const request_memory* memory = nullptr);
 
   void Handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
@@ -51,6 +53,7 @@
   control_client& control_;
   const call_metrics& metrics_;
   absl::AnyInvocable<void()> begin_drain_;
+  const request_memory* const memory_;
 };
 
 }  // namespace teaseljunction
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -58,6 +58,9 @@
   absl::Duration target_drain_time = kTargetDrainTime;
   /// Limit of the memory for all answers of the target that are being received, in bytes.
   uint64_t max_answer_memory = uint64_t{32} << 20;
+  /// Limit of the memory for bodies of requests and for answers that wait for their readers, and
+  /// again for further copies of the bodies of running requests, in bytes.
+  uint64_t max_request_memory = uint64_t{128} << 20;
   /// Probed when the daemon starts, so that a restarted daemon can use the target before its next
   /// announcement.
   local_target_settings local_target;
--- a/src/daemon/tests/settings_test.cc
+++ b/src/daemon/tests/settings_test.cc
@@ -8,14 +8,23 @@
 
 // Reads settings from valid flags followed by `extra`. The last value of a flag takes effect.
 outcome<daemon_settings> Read(std::vector<std::string> extra) {
-  std::vector<std::string> flags = {"teaseljunctiond",        "--listen=127.0.0.1:8080",
-                                    "--data_centre=dc1",      "--daemon_id=d1",
-                                    "--control=false",        "--data_dir=",
-                                    "--freshness_lease=5s",   "--http_threads=2",
-                                    "--max_body_bytes=1000",  "--control_peers=127.0.0.1:8082",
-                                    "--control_voters=0",     "--durable_copies=1",
-                                    "--target_lease=3s",      "--max_answer_memory=33554432",
-                                    "--target_drain_time=2s", "--control_replacement_timeout=4s"};
+  std::vector<std::string> flags = {"teaseljunctiond",
+                                    "--listen=127.0.0.1:8080",
+                                    "--data_centre=dc1",
+                                    "--daemon_id=d1",
+                                    "--control=false",
+                                    "--data_dir=",
+                                    "--freshness_lease=5s",
+                                    "--http_threads=2",
+                                    "--max_body_bytes=1000",
+                                    "--control_peers=127.0.0.1:8082",
+                                    "--control_voters=0",
+                                    "--durable_copies=1",
+                                    "--target_lease=3s",
+                                    "--max_answer_memory=33554432",
+                                    "--max_request_memory=134217728",
+                                    "--target_drain_time=2s",
+                                    "--control_replacement_timeout=4s"};
   flags.insert(flags.end(), extra.begin(), extra.end());
   std::vector<char*> arguments;
   for (std::string& text : flags) arguments.push_back(text.data());
@@ -47,6 +56,8 @@
       {"--durable_copies=0", "--durable_copies"},
       {"--control_replacement_timeout=0s", "--control_replacement_timeout"},
       {"--max_answer_memory=1000", "--max_answer_memory"},
+      {"--max_request_memory=1000", "--max_request_memory"},
+      {"--max_request_memory=2000000", "--max_request_memory"},
       {"--target_lease=0s", "--target_lease"},
       {"--target_drain_time=0s", "--target_drain_time"},
       {"--max_body_bytes=0", "--max_body_bytes"},
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -9,6 +9,7 @@
 #include "absl/time/time.h"
 #include "common/result.h"
 #include "http/http_handler.h"
+#include "http/request_memory.h"
 
 namespace teaseljunction {
 
@@ -36,6 +37,13 @@
   /// Time after which a connection without traffic is closed. Connections with a running request
   /// are not idle.
   absl::Duration idle_timeout = absl::Seconds(60);
+  /// Time without input after which the connection of a body that has arrived in part is closed.
+  /// Below the time after which callers give up idle connections, 15 s. A client that goes on
+  /// sending, however slowly, is not affected.
+  absl::Duration body_timeout = absl::Seconds(10);
+  /// Account for the memory of bodies and responses; without one, the server has its own, without
+  /// a limit.
+  std::shared_ptr<request_memory> memory;
   /// Time for which `Drain` keeps connections without a request open, so that requests already in
   /// transit are answered.
   absl::Duration drain_linger = absl::Seconds(2);
@@ -98,6 +106,9 @@
   http_server_builder& MaxOverlap(int64_t requests, int64_t bytes);
   http_server_builder& IdleTimeout(absl::Duration timeout);
   http_server_builder& DrainLinger(absl::Duration linger);
+  http_server_builder& BodyTimeout(absl::Duration timeout);
+  /// Sets the account that the server shares with others of the process.
+  http_server_builder& Memory(std::shared_ptr<request_memory> memory);
   /// The handler must outlive the server.
   http_server_builder& Handler(http_handler* handler);
 
--- a/src/http/internal/http_server_builder.cc
+++ b/src/http/internal/http_server_builder.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "http/http_server.h"
 #include "http/internal/http_server_impl.h"
 
@@ -55,6 +57,16 @@
   return *this;
 }
 
+http_server_builder& http_server_builder::BodyTimeout(absl::Duration timeout) {
+  settings_.body_timeout = timeout;
+  return *this;
+}
+
+http_server_builder& http_server_builder::Memory(std::shared_ptr<request_memory> memory) {
+  settings_.memory = std::move(memory);
+  return *this;
+}
+
 http_server_builder& http_server_builder::Handler(http_handler* handler) {
   handler_ = handler;
   return *this;
--- a/src/http/internal/request_reader.cc
+++ b/src/http/internal/request_reader.cc
@@ -1,5 +1,6 @@
 #include "http/internal/request_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <utility>
 #include <vector>
@@ -70,9 +71,24 @@
       break;
     }
   }
+  // The part of the body that has arrived is not needed any more.
+  if (refusal_) parser_.reset();
   return used;
 }
 
+size_t request_reader::BodyBytes() const { return parser_ ? parser_->get().body().Capacity() : 0; }
+
+size_t request_reader::NeededBodyBytes(size_t bytes) const {
+  if (!parser_ || !parser_->is_header_done()) return 0;
+  const body_buffer& body = parser_->get().body();
+  return body.Length() ? std::max(*body.Length(), body.Capacity()) : body.CapacityFor(bytes);
+}
+
+void request_reader::GiveUp(error reason) {
+  refusal_ = std::move(reason);
+  parser_.reset();
+}
+
 void request_reader::RefuseUnparsable(boost::beast::error_code failure,
                                       absl::string_view request_line) {
   if (failure == beast_http::error::header_limit) return Refuse(error_kind::kHeadersTooLarge, "");
@@ -135,7 +151,7 @@
     message.headers.push_back(
         {std::string(ToView(field.name_string())), std::string(ToView(field.value()))});
   }
-  message.body = std::move(parsed.body());
+  message.body = parsed.body().Take();
   request.head = message.method == "HEAD";
   parser_.reset();
   awaits_continue_ = false;
--- a/src/http/internal/request_reader.h
+++ b/src/http/internal/request_reader.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <string>
 
 #include "absl/strings/string_view.h"
 #include "absl/types/optional.h"
 #include "common/error_kind.h"
+#include "http/internal/growing_body.h"
 #include "http/types.h"
 
 namespace teaseljunction {
@@ -42,11 +42,22 @@
   /// Returns true if a request has been received in part.
   bool IsReceiving() const { return parser_.has_value(); }
 
+  /// Bytes of memory that the body of the request that has arrived in part takes.
+  size_t BodyBytes() const;
+
+  /// Returns the memory that the body of the request needs: its announced length, or for a body
+  /// without one what it takes when `bytes` more have arrived. Returns 0 while the head is
+  /// incomplete.
+  size_t NeededBodyBytes(size_t bytes) const;
+
+  /// Drops what has been received in part. Nothing more can be read then.
+  void GiveUp(error reason);
+
   /// Returns true once if the client waits for a confirmation before it sends the body.
   bool TakeContinueRequest();
 
  private:
-  using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using parser = boost::beast::http::request_parser<growing_body>;
 
   // Skips empty lines in front of a request (RFC 9112, section 2.2).
   size_t SkipEmptyLines(absl::string_view data);
--- a/src/http/internal/request_row.cc
+++ b/src/http/internal/request_row.cc
@@ -32,7 +32,7 @@
   return added;
 }
 
-row_entry* request_row::NextToHandle() {
+row_entry* request_row::PeekNext() {
   if (handled_ == entries_.size()) return nullptr;
   row_entry& next = entries_[handled_];
   if (next.answer) return nullptr;
@@ -42,12 +42,18 @@
     if (used_.requests >= limits_.requests || used_.bytes >= limits_.bytes) return nullptr;
     if (!usage_.HasRoom()) return nullptr;
   }
-  next.handled = true;
-  if (handled_ > 0) AddUsage(UsageOf(next));
-  ++handled_;
   return &next;
 }
 
+row_entry* request_row::NextToHandle() {
+  row_entry* next = PeekNext();
+  if (next == nullptr) return nullptr;
+  next->handled = true;
+  if (handled_ > 0) AddUsage(UsageOf(*next));
+  ++handled_;
+  return next;
+}
+
 void request_row::SetAnswer(uint64_t number, http_response answer) {
   if (entries_.empty() || number < entries_.front().number) return;
   const size_t position = static_cast<size_t>(number - entries_.front().number);
--- a/src/http/internal/request_row.h
+++ b/src/http/internal/request_row.h
@@ -8,6 +8,7 @@
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "http/internal/request_reader.h"
+#include "http/request_memory.h"
 #include "http/types.h"
 
 namespace teaseljunction {
@@ -42,6 +43,8 @@
 struct row_entry {
   uint64_t number = 0;
   received_request request;
+  /// Charge for the body until the handler gets it.
+  memory_hold body_memory;
   absl::Time received_at;
   /// False for requests that are handled alone: after all earlier ones have been answered, and
   /// before all later ones.
@@ -70,6 +73,9 @@
   /// Adds a request and returns its entry.
   row_entry& Add(received_request request, bool may_overlap);
 
+  /// Returns the next request to be handled without marking it, like `NextToHandle`.
+  row_entry* PeekNext();
+
   /// Returns the next request to be handled and marks it as handled, or returns null if it has to
   /// wait for earlier requests or if there is none.
   row_entry* NextToHandle();
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -31,6 +31,8 @@
 constexpr size_t kMaxDiscardedBytes = size_t{16} << 20;
 /// Time for which the end of a client's input is awaited after the last answer.
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
+/// Number of bytes that are read of a head while too much memory is held.
+constexpr size_t kMinReadBytes = size_t{2} << 10;
 constexpr absl::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 void CountIf(bool counts, bool& counted, std::atomic<int64_t>& counter) {
@@ -39,21 +41,27 @@
   counter += counts ? 1 : -1;
 }
 
+// Returns the memory of a text that is not within its string object.
+size_t AllocatedBytes(const std::string& text) {
+  return text.capacity() < sizeof(text) ? 0 : text.capacity();
+}
+
 }  // namespace
 
 server_connection::server_connection(std::shared_ptr<server_state> server,
                                      std::shared_ptr<event_loop> loop, int fd,
-                                     absl::Span<char> read_buffer, closed_callback on_closed)
+                                     absl::Span<char> read_buffer, callbacks owner)
     : server_(std::move(server)),
       loop_(std::move(loop)),
       fd_(fd),
       remote_ip_(RemoteIp(fd)),
       read_buffer_(read_buffer),
-      on_closed_(std::move(on_closed)),
+      owner_(std::move(owner)),
       reader_(server_->settings.max_header_bytes, server_->settings.max_body_bytes),
       row_({server_->settings.max_overlapping_requests_per_connection,
             server_->settings.max_overlapping_bytes_per_connection},
            server_->usage),
+      buffer_memory_(server_->memory),
       last_activity_(system_clock_source().Now()) {
   ++server_->connections;
 }
@@ -63,7 +71,16 @@
   close(fd_);
 }
 
+void server_connection::AttachMemory() {
+  memory_.emplace(server_->memory, [weak = weak_from_this(), loop = loop_] {
+    loop->Post([weak] {
+      if (const auto self = weak.lock()) self->GiveUpBody();
+    });
+  });
+}
+
 void server_connection::Start() {
+  AttachMemory();
   const int enabled = 1;
   // Answers are written as a whole, so there is nothing to wait for.
   setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
@@ -85,11 +102,16 @@
 
 void server_connection::ReadInput() {
   for (int reads = 0; !closed_ && reads < kMaxReadsPerTurn; ++reads) {
-    if (!IsReading()) {
+    if (!IsReading() || waits_for_memory_) {
       if (HasPeerClosed()) Close();
       return;
     }
-    const ssize_t count = recv(fd_, read_buffer_.data(), read_buffer_.size(), 0);
+    const size_t readable = ReadableBytes();
+    if (readable == 0) {
+      WaitForMemory();
+      continue;
+    }
+    const ssize_t count = recv(fd_, read_buffer_.data(), readable, 0);
     if (count > 0) {
       OnInput({read_buffer_.data(), static_cast<size_t>(count)});
       continue;
@@ -102,6 +124,52 @@
   if (!closed_) ScheduleRead();
 }
 
+size_t server_connection::ReadableBytes() {
+  if (input_ended_) return read_buffer_.size();
+  const size_t needed = reader_.NeededBodyBytes(read_buffer_.size());
+  if (needed <= request_memory::kSmallBodyBytes) {
+    if (server_->memory->HasRoom(read_buffer_.size())) return read_buffer_.size();
+    if (server_->memory->HasReserve()) return request_memory::kSmallBodyBytes;
+    return needed == 0 ? kMinReadBytes : 0;
+  }
+  const uint64_t charged = memory_->body_bytes();
+  if (needed <= charged || memory_->Admit(needed - charged, last_activity_)) {
+    return read_buffer_.size();
+  }
+  return 0;
+}
+
+void server_connection::WaitForMemory() {
+  if (!std::exchange(waits_for_memory_, true)) owner_.on_waiting(*this);
+}
+
+void server_connection::Resume() {
+  if (closed_) return;
+  waits_for_memory_ = false;
+  // The time in line does not count as silence of the client.
+  last_activity_ = system_clock_source().Now();
+  if (!row_.IsEmpty()) Parse("");
+  ReadInput();
+}
+
+void server_connection::GiveUpBody() {
+  if (closed_ || input_ended_ || !reader_.IsReceiving()) return;
+  server_->LogLimited(absl::StrCat("request body given up after ", reader_.BodyBytes(),
+                                   " bytes: other requests need its memory"));
+  Refuse({error_kind::kOverloaded, "The body arrived too slowly while memory was short."});
+  UpdateMemory();
+  UpdateCounters();
+}
+
+void server_connection::UpdateMemory() {
+  const size_t body_bytes = reader_.BodyBytes();
+  const bool receives = reader_.IsReceiving() && !input_ended_;
+  // A body that was admitted keeps the charge for what it still needs.
+  const uint64_t charged = receives ? std::max<uint64_t>(memory_->body_bytes(), body_bytes) : 0;
+  memory_->SetBody(charged, last_activity_);
+  buffer_memory_.Set(AllocatedBytes(input_) + output_bytes_);
+}
+
 void server_connection::ScheduleRead() {
   // One task at a time: if each notification of input added another one, a client that sends
   // without a pause would get an ever larger share of each turn.
@@ -146,7 +214,8 @@
   if (!input_ended_ && reader_.IsReceiving() && input_.size() > kMaxUnparsedBytes) {
     Refuse({error_kind::kMalformedRequest, "an element of the request is too long"});
   }
-  if (input_ended_) input_.clear();
+  if (input_ended_ || input_.empty()) input_ = std::string();
+  UpdateMemory();
   HandleRequests();
   if (ConfirmBody()) ScheduleOutput();
   UpdateCounters();
@@ -167,6 +236,8 @@
   const bool may_overlap = server_->handler->MayOverlap(message);
   row_entry& added = row_.Add(std::move(request), may_overlap);
   added.received_at = last_activity_;
+  const size_t body_bytes = AllocatedBytes(added.request.message.body);
+  if (body_bytes > 0) added.body_memory = memory_hold(server_->memory, body_bytes);
   const uint64_t number = added.number;
   if (!server_->stopping) return;
   server_->LogLimited("request refused: draining");
@@ -178,6 +249,7 @@
   server_->LogLimited(absl::StrCat("request refused: ", AnswerFor(failure.kind).name));
   ++requests_;
   input_ended_ = true;
+  reader_.GiveUp(failure);
   received_request refused;
   refused.keep_alive = false;
   row_.SetAnswer(row_.Add(std::move(refused), false).number, ProblemResponse(failure, ""));
@@ -185,9 +257,13 @@
 }
 
 void server_connection::HandleRequests() {
-  while (row_entry* next = row_.NextToHandle()) {
+  while (row_entry* next = row_.PeekNext()) {
+    auto copies = memory_->ReserveCopies(next->request.message.body.size(), last_activity_);
+    if (!copies) return WaitForMemory();
+    row_.NextToHandle();
     next->exchange = std::make_shared<exchange_state>();
-    auto exchange = MakeExchange(next->exchange, weak_from_this(), next->number, loop_);
+    auto exchange = MakeExchange(next->exchange, weak_from_this(), next->number, loop_,
+                                 {std::move(next->body_memory), *std::move(copies)});
     server_->handler->Handle(std::move(next->request.message), std::move(exchange));
   }
 }
@@ -241,6 +317,7 @@
   output_.push_back(ResponseHead(response, entry.request.head, closing_, absl::Now()));
   if (!entry.request.head && HasBody(response.status) && !response.body.empty()) {
     output_.push_back(std::move(response.body));
+    output_bytes_ += output_.back().size();
   }
 }
 
@@ -270,6 +347,8 @@
       output_.pop_front();
     }
   }
+  if (output_.empty()) output_bytes_ = 0;
+  UpdateMemory();
   UpdateCounters();
   if (output_.empty() && closing_ && !std::exchange(lingering_, true)) FinishOutput();
 }
@@ -309,8 +388,9 @@
 }
 
 void server_connection::CheckTimeout(absl::Time now) {
-  if (closed_ || (!row_.IsEmpty() && output_.empty())) return;
-  const absl::Duration limit = lingering_ ? kLingerTimeout : server_->settings.idle_timeout;
+  if (closed_ || waits_for_memory_ || (!row_.IsEmpty() && output_.empty())) return;
+  absl::Duration limit = lingering_ ? kLingerTimeout : server_->settings.idle_timeout;
+  if (memory_->body_bytes() > 0) limit = std::min(limit, server_->settings.body_timeout);
   if (now - last_activity_ > limit) Close();
 }
 
@@ -321,13 +401,16 @@
   if (!unanswered.empty() || !output_.empty()) {
     server_->LogLimited("connection closed before the response was sent");
   }
-  input_.clear();
+  input_ = std::string();
   output_.clear();
+  reader_.GiveUp({error_kind::kCancelled, ""});
+  memory_.reset();
+  buffer_memory_.Set(0);
   CountIf(false, counted_as_receiving_, server_->receiving_connections);
   CountIf(false, counted_as_answering_, server_->answering_connections);
   --server_->connections;
   // The watch must not be destroyed by its own callback.
-  loop_->RunAtTurnEnd([self = shared_from_this()] { self->on_closed_(*self); });
+  loop_->RunAtTurnEnd([self = shared_from_this()] { self->owner_.on_closed(*self); });
   for (const row_entry& entry : unanswered) {
     if (entry.exchange != nullptr) entry.exchange->NotifyDisconnect();
   }
--- a/src/http/internal/server_connection.h
+++ b/src/http/internal/server_connection.h
@@ -29,12 +29,17 @@
 /// wait to be sent. All members are used on the thread of the loop; the object is destroyed there.
 class server_connection : public std::enable_shared_from_this<server_connection> {
  public:
-  using closed_callback = absl::AnyInvocable<void(server_connection&)>;
+  /// What a connection tells its owner.
+  struct callbacks {
+    /// Called at the end of the turn in which the connection was closed.
+    absl::AnyInvocable<void(server_connection&)> on_closed;
+    /// Called when the connection waits for memory; `Resume` is expected later.
+    absl::AnyInvocable<void(server_connection&)> on_waiting;
+  };
 
   /// Takes over the non-blocking socket `fd`. `read_buffer` is shared by the connections of a loop.
-  /// `on_closed` is called at the end of the turn in which the connection was closed.
   server_connection(std::shared_ptr<server_state> server, std::shared_ptr<event_loop> loop, int fd,
-                    absl::Span<char> read_buffer, closed_callback on_closed);
+                    absl::Span<char> read_buffer, callbacks owner);
   ~server_connection();
   server_connection(const server_connection&) = delete;
   server_connection& operator=(const server_connection&) = delete;
@@ -45,6 +50,9 @@
   /// Reads and handles what has arrived.
   void ReadInput();
 
+  /// Goes on with a connection that waits for memory, if there is some.
+  void Resume();
+
   /// Reads what has arrived, and no further requests after that.
   void StopReceiving();
 
@@ -67,6 +75,14 @@
   // Returns false while no further input is wanted, because the row is full.
   bool IsReading() const { return input_ended_ || row_.HasRoom(); }
   bool HasPeerClosed() const;
+  // Returns how many bytes may be read now; 0 if the connection has to wait for memory.
+  size_t ReadableBytes();
+  void WaitForMemory();
+  // Refuses the incomplete body, because others wait for its memory.
+  void GiveUpBody();
+  void UpdateMemory();
+  // Creates the account's view of this connection, with the weak pointer that its callback needs.
+  void AttachMemory();
   // Continues to read in a later turn of the loop.
   void ScheduleRead();
   void OnInput(absl::string_view data);
@@ -90,10 +106,14 @@
   const int fd_;
   const std::string remote_ip_;
   const absl::Span<char> read_buffer_;
-  closed_callback on_closed_;
+  callbacks owner_;
   std::unique_ptr<descriptor_watch> watch_;
   request_reader reader_;
   request_row row_;
+  // Set in `Start`.
+  absl::optional<memory_client> memory_;
+  // Charge for `input_` and `output_`.
+  memory_hold buffer_memory_;
   // Input that has not been parsed.
   std::string input_;
   // Heads and bodies of answers that have not been sent; the first one is sent up to `sent_`.
@@ -102,6 +122,7 @@
   absl::Time last_activity_;
   uint64_t requests_ = 0;
   size_t discarded_bytes_ = 0;
+  size_t output_bytes_ = 0;
   // True once no further request is accepted; later input is discarded.
   bool input_ended_ = false;
   // True once the last answer is in `output_`.
@@ -111,6 +132,7 @@
   bool lingering_ = false;
   bool closed_ = false;
   bool read_scheduled_ = false;
+  bool waits_for_memory_ = false;
   bool output_scheduled_ = false;
   bool counted_as_receiving_ = false;
   bool counted_as_answering_ = false;
--- a/src/http/internal/server_exchange.cc
+++ b/src/http/internal/server_exchange.cc
@@ -13,8 +13,9 @@
  public:
   server_exchange(std::shared_ptr<exchange_state> state,
                   std::weak_ptr<server_connection> connection, uint64_t number,
-                  std::shared_ptr<event_loop> loop)
-      : state_(std::move(state)),
+                  std::shared_ptr<event_loop> loop, running_memory memory)
+      : memory_(std::move(memory)),
+        state_(std::move(state)),
         connection_(std::move(connection)),
         number_(number),
         loop_(std::move(loop)) {}
@@ -37,6 +38,7 @@
   }
 
  private:
+  const running_memory memory_;
   const std::shared_ptr<exchange_state> state_;
   const std::weak_ptr<server_connection> connection_;
   const uint64_t number_;
@@ -85,9 +87,10 @@
 
 std::shared_ptr<http_exchange> MakeExchange(std::shared_ptr<exchange_state> state,
                                             std::weak_ptr<server_connection> connection,
-                                            uint64_t number, std::shared_ptr<event_loop> loop) {
+                                            uint64_t number, std::shared_ptr<event_loop> loop,
+                                            running_memory memory) {
   return std::make_shared<server_exchange>(std::move(state), std::move(connection), number,
-                                           std::move(loop));
+                                           std::move(loop), std::move(memory));
 }
 
 }  // namespace teaseljunction
--- a/src/http/internal/server_loop.h
+++ b/src/http/internal/server_loop.h
@@ -33,6 +33,10 @@
 
  private:
   void CheckTimeouts();
+  // Adds a connection to those that wait for memory.
+  void AddWaiting(server_connection& connection);
+  // Goes on with the connections that wait for memory, the first in line first.
+  void ResumeWaiting();
 
   const std::shared_ptr<server_state> server_;
   const std::shared_ptr<event_loop> loop_;
@@ -40,6 +44,9 @@
   std::function<void()> on_check_;
   bool running_ = false;
   uint64_t timer_ = 0;
+  uint64_t resume_timer_ = 0;
+  // In the order in which they began to wait.
+  std::vector<std::weak_ptr<server_connection>> waiting_;
   absl::flat_hash_map<server_connection*, std::shared_ptr<server_connection>> connections_;
 };
 
--- a/src/http/internal/server_state.h
+++ b/src/http/internal/server_state.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 
 #include "absl/strings/string_view.h"
 #include "common/log_limiter.h"
@@ -16,12 +17,14 @@
   server_state(const http_server_settings& server_settings, http_handler* request_handler)
       : settings(server_settings),
         handler(request_handler),
+        memory(settings.memory != nullptr ? settings.memory : std::make_shared<request_memory>()),
         usage({settings.max_overlapping_requests, settings.max_overlapping_bytes}) {}
 
   void LogLimited(absl::string_view line);
 
   const http_server_settings settings;
   http_handler* const handler;
+  const std::shared_ptr<request_memory> memory;
   overlap_usage usage;
   log_limiter limiter;
   /// False once connections are to be closed when their requests have been answered.
