--- a/src/gateway/entry_request_handler.h
+++ b/src/gateway/entry_request_handler.h
@@ -56,7 +56,7 @@
 
   // Refuses the call, or limits its deadline, if the stop leaves too little time for it.
   result<void> ApplyDrain(resolved_call& resolved, absl::Time now);
-  void HandleCall(const http_request& request, std::shared_ptr<http_exchange> exchange);
+  void HandleCall(http_request request, std::shared_ptr<http_exchange> exchange);
   std::string RequestIdFor(const http_request& request);
   uint64_t ManifestVersion() const;
   result<resolved_call> Resolve(const http_request& request, const std::string& request_id);
--- a/src/gateway/internal/entry_request_handler.cc
+++ b/src/gateway/internal/entry_request_handler.cc
@@ -39,7 +39,7 @@
     exchange->Respond(target_.Handle(request));
     return;
   }
-  HandleCall(request, std::move(exchange));
+  HandleCall(std::move(request), std::move(exchange));
 }
 
 bool entry_request_handler::MayOverlap(const http_request& request) const {
@@ -131,7 +131,7 @@
   return manifest == nullptr ? 0 : manifest->Manifest().version;
 }
 
-void entry_request_handler::HandleCall(const http_request& request,
+void entry_request_handler::HandleCall(http_request request,
                                        std::shared_ptr<http_exchange> exchange) {
   const std::string request_id = RequestIdFor(request);
   outcome<resolved_call> resolved =
@@ -152,6 +152,8 @@
     exchange->Respond(std::move(response));
     return;
   }
+  // The call has its own copy. Attempts are made while this function runs and copy it again.
+  std::string().swap(request.body);
   const call& accepted = std::get<resolved_call>(resolved).request;
   if (accepted.depth > 0) {
     deps_.graph.RecordChildCall(accepted.request_id, accepted.route, deps_.clock.Now());
