--- a/src/daemon/tests/settings_test.cc
+++ b/src/daemon/tests/settings_test.cc
@@ -57,7 +57,7 @@
       {"--control_replacement_timeout=0s", "--control_replacement_timeout"},
       {"--max_answer_memory=1000", "--max_answer_memory"},
       {"--max_request_memory=1000", "--max_request_memory"},
-      {"--max_request_memory=2000000", "--max_request_memory"},
+      {"--max_request_memory=5000000000", "--max_request_memory"},
       {"--target_lease=0s", "--target_lease"},
       {"--target_drain_time=0s", "--target_drain_time"},
       {"--max_body_bytes=0", "--max_body_bytes"},
