Test and describe that calls below an admitted request are carried through

Cause: levels, max_wait and the age in the queue refused calls of admitted requests, and newest-first order let the oldest of them miss their deadline. A request refused for one service still counted as offered at the others and could refuse others there.

Change: carried calls start oldest first. Refused requests are taken out of the offered flow of services with room.

--- a/src/admission/internal/call_queue.cc
+++ b/src/admission/internal/call_queue.cc
@@ -89,8 +89,10 @@
                std::make_pair(start_tag(b.first), *b.second.begin());
       });
   const auto priority = static_cast<request_priority>(lane - lanes_.begin());
-  const bool newest = newest_first[static_cast<size_t>(priority)];
-  const uint64_t sequence = newest ? *next_account->second.rbegin() : *next_account->second.begin();
+  const uint64_t oldest = *next_account->second.begin();
+  const bool newest =
+      newest_first[static_cast<size_t>(priority)] && !calls_.at(oldest).request.carried;
+  const uint64_t sequence = newest ? *next_account->second.rbegin() : oldest;
   RecordServed(priority, next_account->first);
   return Extract(sequence);
 }
--- a/src/admission/internal/call_queue.h
+++ b/src/admission/internal/call_queue.h
@@ -42,8 +42,8 @@
   absl::optional<queued_call> Remove(uint64_t call_id);
 
   /// Removes the call that starts next, counts it as served for its account and returns it. Takes
-  /// the newest call of that account when `newest_first` is set for its priority, otherwise the
-  /// oldest one. The queue must not be empty.
+  /// the newest call of that account when `newest_first` is set for its priority and the calls are
+  /// not `carried`, otherwise the oldest one. The queue must not be empty.
   queued_call PopNext(const std::array<bool, kPriorityCount>& newest_first);
 
   /// Counts a call that started without being queued as served for its account.
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -185,6 +185,36 @@
   CHECK(StartOrder(controller, 1, 151) == std::vector<uint64_t>{20, 21, 22, 12, 11, 10});
 }
 
+// Guards against refusing calls below an admitted request, which wastes the work done for it, and
+// against serving them newest first, which makes the oldest of them miss their deadline.
+TEST_CASE("carried calls are refused only for their deadline and start oldest first") {
+  const bool carried = GENERATE(true, false);
+  admission_controller controller = BusyController();
+  int refused_as_overloaded = 0;
+  int refused_for_deadline = 0;
+  std::vector<uint64_t> queued;
+  const auto count = [&](const admission_decision& decision) {
+    if (decision.verdict == admission_verdict::kQueued) queued.push_back(decision.call_id);
+    if (decision.verdict != admission_verdict::kRefused) return;
+    ++(decision.reason == error_kind::kOverloaded ? refused_as_overloaded : refused_for_deadline);
+  };
+  for (int i = 0; i < 40; ++i) {
+    admission_request call = Call(10 + i, kLow, "a", 1);
+    call.cohort = kCohortCount - 1;
+    call.carried = carried;
+    call.max_wait = absl::Milliseconds(300);
+    call.deadline = At(i == 0 ? 1900 : 5000);
+    count(controller.Submit(call, At(50 * i)));
+    for (const admission_decision& decision : controller.Poll(At(50 * i))) count(decision);
+  }
+  INFO("carried " << carried);
+  CHECK((refused_as_overloaded == 0) == carried);
+  if (!carried) return;
+  CHECK(refused_for_deadline == 1);
+  queued.erase(queued.begin());
+  CHECK(StartOrder(controller, 1, 2050) == queued);
+}
+
 // Guards against a queue full of unimportant calls, or of calls of one account, that keeps others
 // out.
 TEST_CASE("a full queue evicts the least important, newest call") {
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -256,6 +256,46 @@
   CHECK(FindHeader(refused->last.headers, "Retry-After"));
 }
 
+// Guards against counting requests above the rate of their account as a part of the load, and
+// against refusals by the plan that use a token or a claim.
+TEST_CASE("the plan counts requests that start and refuses those without room") {
+  entry_fixture fixture;
+  fixture.graph.SetOverloadControl(overload_control_mode::kPlanned);
+  const auto report = [&](double load) {
+    fixture.graph.RecordCosts("lookup", {{"stock", 1, load, absl::ZeroDuration()}},
+                              fixture.time.Now());
+  };
+  const auto plan_has = [&](const std::string& line) {
+    return fixture.graph.FormatPrometheus(fixture.time.Now()).find(line) != std::string::npos;
+  };
+  report(0.3);
+  fixture.time.AdvanceBy(absl::Seconds(2));  // The tokens have expired.
+  const auto refused = fixture.Send({"GET", "/stock/1", {}, ""});
+  fixture.time.AdvanceBy(absl::Milliseconds(400));
+  REQUIRE(refused->last.status == 429);
+  report(0.3);
+  CHECK(plan_has("teaseljunction_plan_offered{service=\"stock\"} 0\n"));
+  CHECK(plan_has("teaseljunction_plan_admitted{service=\"stock\"} 0\n"));
+
+  absl::optional<http_response> without_room;
+  for (int i = 0; i < 600 && !without_room; ++i) {
+    fixture.Refill();
+    report(i < 200 ? 0.3 : 4);
+    const auto exchange = fixture.Send({"GET", "/stock/1", {}, ""});
+    fixture.time.AdvanceBy(absl::Milliseconds(10));
+    if (exchange->responses == 0) {
+      fixture.peers.AnswerLast(200, "");
+    } else {
+      without_room = exchange->last;
+    }
+    if (i < 200) CHECK(!without_room);
+  }
+  REQUIRE(without_room);
+  CHECK(without_room->status == 503);
+  CHECK(without_room->body.find("Service stock has no room.") != std::string::npos);
+  CHECK(!plan_has("teaseljunction_plan_cut{service=\"stock\"} 4\n"));
+}
+
 // Guards against refusing requests as above the rate while the leader does not respond.
 TEST_CASE("requests continue at the previous rate while the leader is unavailable") {
   virtual_scheduler time;
--- a/src/gateway/tests/entry_request_handler_test.cc
+++ b/src/gateway/tests/entry_request_handler_test.cc
@@ -172,8 +172,33 @@
   CHECK(child.cohort == 77);
   CHECK(child.depth == 1);
   CHECK(send("a3ce92.1").priority == request_priority::kCritical);
+  fixture.graph.SetOverloadControl(overload_control_mode::kPlanned);
+  const call planned_child = send("4bf92f.1");
+  CHECK(planned_child.priority == request_priority::kLow);
+  CHECK(planned_child.cohort == 77);
+  CHECK(planned_child.depth == 1);
   fixture.graph.RecordExecutionEnd("4bf92f");
   CHECK(send("4bf92f.2").priority == request_priority::kCritical);
 }
 
+// Guards against refusing a call below an admitted request, after work has been done for it.
+TEST_CASE("where the capacity is planned the levels of targets do not apply to child calls") {
+  handler_fixture fixture;
+  const auto refuse_all = [&] {
+    fixture.targets.OnAttemptStarted("stock", "stock0", fixture.time.Now());
+    fixture.targets.OnAttemptFinished("stock", "stock0", attempt_result::kAnswered,
+                                      absl::ZeroDuration(), {request_priority::kCritical, 0},
+                                      fixture.time.Now());
+  };
+  refuse_all();
+  CHECK(fixture.SendChild()->last.status == 503);
+  CHECK(fixture.peers.attempts.empty());
+  fixture.targets.SetOverloadControl(overload_control_mode::kPlanned);
+  CHECK(fixture.SendChild()->responses == 0);
+  CHECK(fixture.peers.attempts.size() == 1);
+  // A switch back takes effect for the next call.
+  fixture.targets.SetOverloadControl(overload_control_mode::kReactive);
+  CHECK(fixture.SendChild()->last.status == 503);
+}
+
 }  // namespace teaseljunction
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -393,6 +393,28 @@
   CHECK(fixture.executor.Status().running == 0);
 }
 
+// Guards against refusing a call below an admitted request for its time in the queue.
+TEST_CASE("where the capacity is planned child calls wait until their deadline") {
+  const bool planned = GENERATE(true, false);
+  executor_fixture fixture;
+  if (planned) fixture.executor.SetOverloadControl(overload_control_mode::kPlanned);
+  fixture.executor.SetMaxConcurrency(1);
+  fixture.Send("running");
+  call child;
+  child.service = "stock";
+  child.time_left = absl::Seconds(1);
+  child.max_wait = absl::Milliseconds(50);
+  child.depth = 1;
+  absl::optional<error_kind> refusal;
+  fixture.executor.Execute(child, [&refusal](execute_result executed) {
+    refusal = std::get<error>(executed.answer).kind;
+  });
+  for (int i = 0; i < 20; ++i) fixture.time.AdvanceBy(absl::Milliseconds(20));
+  CHECK(refusal.has_value() == !planned);
+  fixture.time.AdvanceBy(absl::Seconds(1));
+  CHECK(refusal == error_kind::kDeadlineTooShort);
+}
+
 // Guards against "may have run" for calls that were still queued when their daemon stopped.
 TEST_CASE("queued calls of a stopping daemon end as not run") {
   executor_fixture fixture;
--- a/src/overload/capacity_plan.h
+++ b/src/overload/capacity_plan.h
@@ -46,8 +46,8 @@
   /// Counts a new request. Call once per request, before `FindShortage`.
   void RecordOffered(const planned_request& request, absl::Time now);
 
-  /// Returns a service without capacity for the request, or nothing. In the latter case the request
-  /// counts as admitted.
+  /// Returns the service that lacks capacity for the request for the longest time, or nothing. In
+  /// the latter case the request counts as admitted.
   absl::optional<capacity_shortage> FindShortage(const planned_request& request, absl::Time now);
 
   /// Takes back an admitted request that was refused for another reason.
@@ -77,6 +77,9 @@
   };
 
   service_state& StateOf(absl::string_view service);
+  // Takes back a refused request at the services that have room for it. Its calls will not reach
+  // them, so they must not refuse others in its place.
+  void TakeBackOffered(const planned_request& request, double rank, absl::Time now);
   bool AdmitsStart(const planned_request& request, absl::Time now);
 
   absl::flat_hash_map<std::string, std::unique_ptr<service_state>> services_;
--- a/src/overload/internal/capacity_plan.cc
+++ b/src/overload/internal/capacity_plan.cc
@@ -60,11 +60,18 @@
 absl::optional<capacity_shortage> capacity_plan::FindShortage(const planned_request& request,
                                                               absl::Time now) {
   const double rank = service_plan::RankPosition(request.priority, request.cohort);
+  absl::optional<capacity_shortage> shortage;
   for (const service_cost& cost : request.cost) {
     if (!Reaches(cost)) continue;
     service_plan& plan = StateOf(cost.service).plan;
     plan.Advance(now);
-    if (!plan.Admits(rank)) return capacity_shortage{cost.service, plan.RoomExpectedIn(rank)};
+    if (plan.Admits(rank)) continue;
+    const absl::Duration room = plan.RoomExpectedIn(rank);
+    if (!shortage || room > shortage->room_expected_in) shortage = {cost.service, room};
+  }
+  if (shortage) {
+    TakeBackOffered(request, rank, now);
+    return shortage;
   }
   if (request.cost.empty() && !AdmitsStart(request, now)) {
     return capacity_shortage{std::string(request.service), kStartInterval};
@@ -75,6 +82,14 @@
   return absl::nullopt;
 }
 
+void capacity_plan::TakeBackOffered(const planned_request& request, double rank, absl::Time now) {
+  for (const service_cost& cost : request.cost) {
+    if (!Reaches(cost)) continue;
+    service_plan& plan = StateOf(cost.service).plan;
+    if (plan.Admits(rank)) plan.AddOffered(rank, -cost.calls, now);
+  }
+}
+
 bool capacity_plan::AdmitsStart(const planned_request& request, absl::Time now) {
   start_state& start =
       starts_.try_emplace(request.route, start_state{now, now, 0, kStartRequests}).first->second;
--- a/src/overload/tests/capacity_plan_test.cc
+++ b/src/overload/tests/capacity_plan_test.cc
@@ -285,6 +285,32 @@
   CHECK(status.share == Approx(1250).epsilon(0.05));
 }
 
+// Guards against a service that refuses requests in place of others that another service refuses.
+TEST_CASE("requests refused for one service do not take capacity of the others") {
+  capacity_plan plan;
+  const route_cost both = {{"roomy", 1, 0, {}}, {"scarce", 1, 0, {}}};
+  const route_cost roomy = {{"roomy", 1, 0, {}}};
+  absl::Time now = absl::UnixEpoch();
+  int refused = 0;
+  for (int i = 0; i < 12000; ++i) {
+    now += absl::Milliseconds(1);
+    // From the third second on, the requests that reach both services arrive at a fourfold rate.
+    const bool overload = i >= 3000;
+    plan.RecordLoad({{"roomy", 1, 0.6, {}}, {"scarce", 1, overload ? 0.9 : 0.6, {}}}, now);
+    for (int copy = 0; copy < (overload ? 4 : 1); ++copy) {
+      const auto cohort = static_cast<uint8_t>((i * 37 + copy * 11) % kCohortCount);
+      const planned_request request{"both", "roomy", both, request_priority::kLow, cohort};
+      plan.RecordOffered(request, now);
+      plan.FindShortage(request, now);
+    }
+    const planned_request request{"roomy", "roomy", roomy, request_priority::kLow,
+                                  static_cast<uint8_t>(i * 37 % kCohortCount)};
+    plan.RecordOffered(request, now);
+    if (plan.FindShortage(request, now) && i >= 5000) ++refused;
+  }
+  CHECK(refused < 70);
+}
+
 // The cut moves by whole priorities every 100 ms here; one line per second is enough.
 TEST_CASE("a change of the cut is returned at most once per second") {
   capacity_plan plan;
