--- a/src/overload/tests/capacity_plan_test.cc
+++ b/src/overload/tests/capacity_plan_test.cc
@@ -316,9 +316,9 @@
     const planned_request request{"roomy", "roomy", roomy, request_priority::kLow,
                                   static_cast<uint8_t>(i * 37 % kCohortCount)};
     plan.RecordOffered(request, now);
-    if (plan.FindShortage(request, now) && i >= 5000) ++refused;
+    if (plan.FindShortage(request, now) && i >= 3300) ++refused;
   }
-  CHECK(refused < 70);
+  CHECK(refused < 10);
 }
 
 // The cut moves by whole priorities every 100 ms here; one line per second is enough.
