Bound the records in flight to a control member in bytes

Cause: the limit was 4,096 records of any size, and each accepted answer counted all records in flight as answered, so the rest followed on the first answer.

Change: the records in flight are those between the last answered index and the next one to send, and their size is bounded as well (kMaxInFlightBytes).

--- a/src/control/internal/raft_replication.cc
+++ b/src/control/internal/raft_replication.cc
@@ -95,10 +95,10 @@
   const bool lease_only = message.log_index == 0;
   if (lease_only || message.log_index > log_.LastIndex()) return;
   peer.probing = false;
-  peer.in_flight_records = 0;
   peer.snapshot_send_time = absl::InfinitePast();
   peer.match_index = std::max(peer.match_index, message.log_index);
   peer.next_index = std::max(peer.next_index, peer.match_index + 1);
+  peer.answered_index = std::max(peer.answered_index, peer.match_index);
   AdvanceCommit(now);
 }
 
@@ -108,9 +108,9 @@
                         (peer.probing && message.log_index + 1 != peer.next_index);
   if (outdated) return;
   peer.probing = true;
-  peer.in_flight_records = 0;
-  peer.next_index =
-      std::max(peer.match_index, std::min(message.reject_hint, message.log_index - 1)) + 1;
+  peer.answered_index =
+      std::max(peer.match_index, std::min(message.reject_hint, message.log_index - 1));
+  peer.next_index = peer.answered_index + 1;
   const group_member* member = FindMember(Configuration(), message.from);
   if (member != nullptr) SendHeartbeat(*member, peer, now);
 }
@@ -139,6 +139,7 @@
     if (known != peers_.end()) {
       peer = known->second;
     } else {
+      peer.answered_index = log_.LastIndex();
       peer.next_index = log_.LastIndex() + 1;
     }
   }
@@ -169,10 +170,15 @@
   Send(member.address, std::move(message));
 }
 
+bool raft_replica::HasRoomInFlight(const peer_progress& peer) const {
+  const uint64_t last_sent = peer.next_index - 1;
+  return last_sent - peer.answered_index < settings_.max_in_flight_records &&
+         log_.BytesBetween(peer.answered_index, last_sent) < settings_.max_in_flight_bytes;
+}
+
 void raft_replica::SendRecords(const group_member& member, peer_progress& peer, absl::Time now) {
   if (!log_.TermAt(peer.next_index - 1)) return SendSnapshot(member, peer, now);
-  while (!peer.probing && peer.next_index <= log_.LastIndex() &&
-         peer.in_flight_records < settings_.max_in_flight_records) {
+  while (!peer.probing && peer.next_index <= log_.LastIndex() && HasRoomInFlight(peer)) {
     raft_message message = NewMessage(raft_message_kind::kAppend, member.member_id);
     message.send_time = now;
     message.commit_index = commit_index_;
@@ -183,7 +189,6 @@
       message.records.push_back(log_.At(peer.next_index));
       bytes += sizeof(log_record) + message.records.back().data.size();
       ++peer.next_index;
-      ++peer.in_flight_records;
     }
     Send(member.address, std::move(message));
   }
--- a/src/control/raft_replica.h
+++ b/src/control/raft_replica.h
@@ -26,6 +26,8 @@
   uint64_t max_append_bytes = 1024 * 1024;
   /// Largest number of records sent to a member without a response.
   uint64_t max_in_flight_records = 4096;
+  /// Size of these records at which no more are sent, in bytes.
+  uint64_t max_in_flight_bytes = kMaxInFlightBytes;
   /// Proposals fail with kOverloaded while this many records are uncommitted.
   uint64_t max_uncommitted_records = 20'000;
   /// Commands fail with kOverloaded while the uncommitted records have this size, in bytes.
@@ -163,7 +165,8 @@
     absl::Time acked_send_time = absl::InfinitePast();
     // True after a rejected append: no records are sent until a matching record is found.
     bool probing = false;
-    uint64_t in_flight_records = 0;
+    // The records above this index and below `next_index` were sent and not answered yet.
+    uint64_t answered_index = 0;
     absl::Time snapshot_send_time = absl::InfinitePast();
   };
 
@@ -194,6 +197,7 @@
   uint64_t AppendAsLeader(log_record record, absl::Time now);
   void SendHeartbeats(absl::Time now);
   void SendHeartbeat(const group_member& member, peer_progress& peer, absl::Time now);
+  bool HasRoomInFlight(const peer_progress& peer) const;
   void SendRecords(const group_member& member, peer_progress& peer, absl::Time now);
   void SendSnapshot(const group_member& member, peer_progress& peer, absl::Time now);
   void AdvanceCommit(absl::Time now);
--- a/src/control/tests/log_bytes_test.cc
+++ b/src/control/tests/log_bytes_test.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "control/raft_replica.h"
 #include "control/tests/mocks/simulated_group.h"
 
 namespace teaseljunction {
@@ -80,4 +81,62 @@
   group.RunUntil("equal members", [&] { return HaveAllApplied(group, 70); });
 }
 
+// Guards against messages without a limit in bytes to a member that lags: the leader's log was sent
+// at once, and again with every response.
+TEST_CASE("records in flight to a member that lags are bounded in bytes") {
+  const uint64_t records = 12;
+  seeded_random_source random(1);
+  const group_configuration members = {{1, "1", "a", true}, {2, "2", "a", true}};
+  stored_log stored;
+  stored.state = {1, 9, 1, 0, members};
+  stored.snapshot.emplace();
+  stored.snapshot->configuration = members;
+  for (uint64_t index = 1; index <= records; ++index) {
+    log_record record;
+    record.index = index;
+    record.term = 1;
+    record.kind = record_kind::kCommand;
+    record.data = std::string(kManifestBytes, 'a');
+    stored.records.push_back(std::move(record));
+  }
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  raft_replica leader({}, std::move(stored), "1", random, now);
+  now += absl::Seconds(2);
+  leader.Tick(now);
+  raft_message message;
+  message.group_id = 9;
+  message.from = 2;
+  message.to = 1;
+  message.from_address = "2";
+  message.accepted = true;
+  message.term = 2;
+  message.kind = raft_message_kind::kPreVoteResponse;
+  leader.Step(message, now);
+  message.kind = raft_message_kind::kVoteResponse;
+  leader.Step(message, now);
+  REQUIRE(leader.Role() == member_role::kLeader);
+  leader.TakeOutput(now);
+  // The member has none of the records.
+  message.kind = raft_message_kind::kAppendResponse;
+  message.accepted = false;
+  message.log_index = records;
+  leader.Step(message, now);
+  leader.TakeOutput(now);
+  message.accepted = true;
+  message.log_index = 0;
+  uint64_t sent = 0;
+  for (uint64_t answered = 0; answered <= records; ++answered) {
+    message.log_index = answered;
+    // A heartbeat is answered with the record before the next one, which ends the probing.
+    leader.Step(message, now);
+    for (const outgoing_message& outgoing : leader.TakeOutput(now).messages) {
+      if (!outgoing.message.records.empty()) sent = outgoing.message.records.back().index;
+    }
+    INFO("answered " << answered << ", sent " << sent);
+    const uint64_t in_flight = sent > answered ? sent - answered : 0;
+    CHECK(in_flight * kManifestBytes <= kMaxInFlightBytes + kMaxCommandBytes);
+  }
+  CHECK(sent == records + 1);
+}
+
 }  // namespace teaseljunction
--- a/src/control/types.h
+++ b/src/control/types.h
@@ -31,6 +31,9 @@
 constexpr uint64_t kRetainedBytes = 8 * 1024 * 1024;
 /// Size of uncommitted records at which a leader accepts no further proposals, in bytes.
 constexpr uint64_t kMaxUncommittedBytes = 16 * 1024 * 1024;
+/// Size of the records sent to a member without a response at which no more are sent to it, in
+/// bytes. Each member needs a round trip for this size.
+constexpr uint64_t kMaxInFlightBytes = 4 * 1024 * 1024;
 /// Largest size of the log in memory of a member with the default settings, in bytes, while its
 /// disk accepts snapshots and the last one is no larger than `kSnapshotAfterBytes`. The limits are
 /// checked before a record is added, so one command may exceed each of the last two.
