Share the body among the copies of a call, and let the largest body pass

Each attempt and the request to the target copied the body once more.

The body of a call is shared by its copies, the entry moves it out of the request, and the daemon beside the target moves it into the request that it sends.

--- a/src/common/types.h
+++ b/src/common/types.h
@@ -7,6 +7,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "common/shared_text.h"
 
 namespace teaseljunction {
 
@@ -64,7 +65,8 @@
   /// Path and query, as received.
   std::string path;
   std::vector<http_header> headers;
-  std::string body;
+  /// Shared by the copies of the call, because each attempt needs one.
+  shared_text body;
   /// Empty on routes that need no key.
   std::string client_account;
   request_priority priority = request_priority::kNormal;
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -35,6 +35,20 @@
 // Limit of connections for each listener added with `AddListener`.
 constexpr unsigned kMaxAdditionalListenerConnections = 256;
 
+// Largest message between daemons: a call with the largest body, its head and its other fields.
+// Messages that are not calls are below the minimum.
+size_t MaxMessageBytes(const daemon_settings& settings) {
+  constexpr size_t kMinBytes = size_t{16} << 20;
+  constexpr size_t kBytesBesidesBody = size_t{1} << 20;
+  return std::max(kMinBytes, settings.max_body_bytes + kBytesBesidesBody);
+}
+
+// Memory of messages that have arrived in part: at least one of the largest.
+size_t MaxReceivingBytes(const daemon_settings& settings) {
+  constexpr size_t kMinBytes = size_t{64} << 20;
+  return std::max(kMinBytes, MaxMessageBytes(settings));
+}
+
 // Sends Raft messages over the existing connections to the other daemons.
 class peer_raft_transport : public raft_transport {
  public:
@@ -157,6 +171,7 @@
       peers_(rpc_peer_client_builder()
                  .Threads(settings_.rpc_threads)
                  .Loop(LoopFor(settings_.rpc_threads))
+                 .MaxMessageBytes(MaxMessageBytes(settings_))
                  .Build()),
       client_(curl_client_builder()
                   .Threads(settings_.client_threads)
@@ -248,6 +263,8 @@
                     .Address(settings_.rpc_listen)
                     .Threads(settings_.rpc_threads)
                     .Loop(LoopFor(settings_.rpc_threads))
+                    .MaxMessageBytes(MaxMessageBytes(settings_))
+                    .MaxReceivingBytes(MaxReceivingBytes(settings_))
                     .Service(node_.get())
                     .Build();
   BOOST_LEAF_CHECK(rpc_server_->Start());
--- a/src/gateway/call_resolver.h
+++ b/src/gateway/call_resolver.h
@@ -50,7 +50,7 @@
 /// kContextUnknown, kRouteUnknown, kMethodNotAllowed, kIdentityMissing, kDeadlineTooShort.
 result<resolved_call> ResolveCall(const manifest_index& manifest,
                                   const call_context_table& contexts,
-                                  const resolver_settings& settings, const http_request& received,
+                                  const resolver_settings& settings, http_request received,
                                   absl::string_view request_id, absl::Time now);
 
 /// Returns the service that handles a request. When the route is split over several services,
--- a/src/gateway/entry_request_handler.h
+++ b/src/gateway/entry_request_handler.h
@@ -59,7 +59,7 @@
   void HandleCall(http_request request, std::shared_ptr<http_exchange> exchange);
   std::string RequestIdFor(const http_request& request);
   uint64_t ManifestVersion() const;
-  result<resolved_call> Resolve(const http_request& request, const std::string& request_id);
+  result<resolved_call> Resolve(http_request request, const std::string& request_id);
   // Gives a child call without a token the rank that follows from the execution that made it.
   void InheritRank(call& request) const;
   // Time after which a caller refused because of the stop is asked to come back.
--- a/src/gateway/internal/call_resolver.cc
+++ b/src/gateway/internal/call_resolver.cc
@@ -181,7 +181,8 @@
 }
 
 std::string FingerprintOf(const call& request) {
-  return Sha256HexOfFields({request.client_account, request.method, request.path, request.body});
+  return Sha256HexOfFields(
+      {request.client_account, request.method, request.path, request.body.Get()});
 }
 
 }  // namespace
@@ -208,7 +209,7 @@
 
 result<resolved_call> ResolveCall(const manifest_index& manifest,
                                   const call_context_table& contexts,
-                                  const resolver_settings& settings, const http_request& received,
+                                  const resolver_settings& settings, http_request received,
                                   absl::string_view request_id, absl::Time now) {
   resolved_call resolved;
   BOOST_LEAF_ASSIGN(resolved.parent, FindParent(contexts, settings.headers, received));
@@ -234,7 +235,7 @@
   request.method = received.method;
   request.path = received.path;
   request.headers = HeadersForTarget(received, key, settings);
-  request.body = received.body;
+  request.body = std::move(received.body);
   request.idempotent = matched_route.idempotent;
   request.attempt_budget = matched_route.max_attempts;
   request.fingerprint = FingerprintOf(request);
--- a/src/gateway/internal/entry_request_handler.cc
+++ b/src/gateway/internal/entry_request_handler.cc
@@ -49,13 +49,13 @@
   return matched == nullptr || matched->idempotent;
 }
 
-result<resolved_call> entry_request_handler::Resolve(const http_request& request,
+result<resolved_call> entry_request_handler::Resolve(http_request request,
                                                      const std::string& request_id) {
   const absl::Time now = deps_.clock.Now();
   const auto manifest = config_.Confirmed(now);
   if (manifest == nullptr) return Fail(error_kind::kConfigurationStale);
-  BOOST_LEAF_AUTO(resolved,
-                  ResolveCall(*manifest, contexts_, deps_.settings, request, request_id, now));
+  BOOST_LEAF_AUTO(resolved, ResolveCall(*manifest, contexts_, deps_.settings, std::move(request),
+                                        request_id, now));
   BOOST_LEAF_CHECK(ApplyDrain(resolved, now));
   if (resolved.parent == nullptr) {
     InheritRank(resolved.request);
@@ -134,12 +134,13 @@
 void entry_request_handler::HandleCall(http_request request,
                                        std::shared_ptr<http_exchange> exchange) {
   const std::string request_id = RequestIdFor(request);
+  const std::string path = request.path;
   outcome<resolved_call> resolved =
-      Capture<resolved_call>([&] { return Resolve(request, request_id); });
+      Capture<resolved_call>([&] { return Resolve(std::move(request), request_id); });
   if (const auto* failure = std::get_if<error>(&resolved)) {
     LogCall(call_event::kRefused, request_id,
             {{"reason", AnswerFor(failure->kind).name},
-             {"path", request.path},
+             {"path", path},
              {"config_version", ManifestVersion()}});
     deps_.metrics.RecordError(failure->kind);
     absl::optional<absl::Duration> retry_after;
@@ -152,8 +153,6 @@
     exchange->Respond(std::move(response));
     return;
   }
-  // The call has its own copy. Attempts are made while this function runs and copy it again.
-  std::string().swap(request.body);
   const call& accepted = std::get<resolved_call>(resolved).request;
   if (accepted.depth > 0) {
     deps_.graph.RecordChildCall(accepted.request_id, accepted.route, deps_.clock.Now());
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -28,10 +28,11 @@
 // Size of the headers and bookkeeping of a queued call, counted towards the limit on queue memory.
 constexpr size_t kCallOverheadBytes = 1024;
 
-http_request RequestForTarget(const call& request, absl::string_view token,
+http_request RequestForTarget(call& request, absl::string_view token,
                               const target_announcement& target, absl::Duration time_left,
                               const call_header_names& header_names) {
-  http_request sent{request.method, request.path, request.headers, request.body};
+  // A call is sent to its target once, so its body is not needed afterwards.
+  http_request sent{request.method, request.path, request.headers, request.body.Take()};
   const auto add = [&sent](const std::string& name, std::string value) {
     if (!name.empty()) sent.headers.push_back({name, std::move(value)});
   };
--- a/src/rpc/internal/convert_call.cc
+++ b/src/rpc/internal/convert_call.cc
@@ -43,7 +43,7 @@
   out.setMethod(ToText(value.method));
   out.setPath(ToText(value.path));
   EncodeHeaders(value.headers, out.initHeaders(value.headers.size()));
-  out.setBody(ToData(value.body));
+  out.setBody(ToData(value.body.Get()));
   out.setClientAccount(ToText(value.client_account));
   out.setPriority(static_cast<uint8_t>(value.priority));
   out.setCohort(value.cohort);
