--- a/src/http/internal/growing_body.h
+++ b/src/http/internal/growing_body.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <string>
 
+#include "http/internal/allocated_bytes.h"
+
 namespace teaseljunction {
 
 /// The body of a request while it arrives. Its memory grows with what has arrived: nothing is
@@ -39,7 +41,7 @@
   }
 
   /// Memory taken, in bytes; 0 while the text is within the string object.
-  size_t Capacity() const { return text_.capacity() < sizeof(text_) ? 0 : text_.capacity(); }
+  size_t Capacity() const { return AllocatedBytes(text_); }
 
   const boost::optional<size_t>& Length() const { return length_; }
 
--- a/src/http/internal/request_memory.cc
+++ b/src/http/internal/request_memory.cc
@@ -162,18 +162,17 @@
 
 absl::optional<memory_hold> memory_client::ReserveCopies(uint64_t body_bytes, absl::Time now) {
   if (body_bytes <= request_memory::kSmallBodyBytes) return memory_hold();
-  constexpr auto kCopies = request_memory::kCopies;
   // Never more than everything, so that the largest body only waits for earlier ones.
   const uint64_t bytes =
       std::min(body_bytes * request_memory::kCopiesPerRequest, memory_->max_bytes_);
   {
     absl::MutexLock lock(&memory_->mutex_);
-    if (!EnterOrPass(kCopies, bytes, false, now)) return absl::nullopt;
-    places_[kCopies] = 0;
+    if (!EnterOrPass(request_memory::kCopies, bytes, false, now)) return absl::nullopt;
+    places_[request_memory::kCopies] = 0;
   }
   memory_hold reserved;
   reserved.memory_ = memory_;
-  reserved.charged_ = kCopies;
+  reserved.charged_ = request_memory::kCopies;
   reserved.bytes_ = bytes;
   return reserved;
 }
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -15,6 +15,7 @@
 #include "absl/strings/str_cat.h"
 #include "common/clock_source.h"
 #include "common/sockets.h"
+#include "http/internal/allocated_bytes.h"
 #include "http/internal/response_text.h"
 #include "http/internal/server_exchange.h"
 #include "http/problem.h"
@@ -41,11 +42,6 @@
   counter += counts ? 1 : -1;
 }
 
-// Returns the memory of a text that is not within its string object.
-size_t AllocatedBytes(const std::string& text) {
-  return text.capacity() < sizeof(text) ? 0 : text.capacity();
-}
-
 }  // namespace
 
 server_connection::server_connection(std::shared_ptr<server_state> server,
