--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -35,18 +35,20 @@
 // Limit of connections for each listener added with `AddListener`.
 constexpr unsigned kMaxAdditionalListenerConnections = 256;
 
+constexpr size_t kMinMessageBytes = size_t{16} << 20;
+// Memory of the head and the other fields of a call.
+constexpr size_t kBytesBesidesBody = size_t{1} << 20;
+constexpr size_t kMinReceivingBytes = size_t{64} << 20;
+
 // Largest message between daemons: a call with the largest body, its head and its other fields.
 // Messages that are not calls are below the minimum.
 size_t MaxMessageBytes(const daemon_settings& settings) {
-  constexpr size_t kMinBytes = size_t{16} << 20;
-  constexpr size_t kBytesBesidesBody = size_t{1} << 20;
-  return std::max(kMinBytes, settings.max_body_bytes + kBytesBesidesBody);
+  return std::max(kMinMessageBytes, settings.max_body_bytes + kBytesBesidesBody);
 }
 
 // Memory of messages that have arrived in part: at least one of the largest.
 size_t MaxReceivingBytes(const daemon_settings& settings) {
-  constexpr size_t kMinBytes = size_t{64} << 20;
-  return std::max(kMinBytes, MaxMessageBytes(settings));
+  return std::max(kMinReceivingBytes, MaxMessageBytes(settings));
 }
 
 // Sends Raft messages over the existing connections to the other daemons.
--- a/src/gateway/tests/entry_call_test.cc
+++ b/src/gateway/tests/entry_call_test.cc
@@ -97,11 +97,11 @@
   }
 
   uint64_t RedeemedPromises() {
-    constexpr absl::string_view kName = "teaseljunction_return_promises_total{event=\"redeemed\"} ";
+    const absl::string_view name = "teaseljunction_return_promises_total{event=\"redeemed\"} ";
     const std::string text = metrics.FormatPrometheus();
-    const size_t at = text.find(std::string(kName));
+    const size_t at = text.find(std::string(name));
     REQUIRE(at != std::string::npos);
-    return std::stoull(text.substr(at + kName.size()));
+    return std::stoull(text.substr(at + name.size()));
   }
 
   void AdmitOnlyFirstCohort() {
