--- a/src/gateway/entry_call.h
+++ b/src/gateway/entry_call.h
@@ -91,7 +91,7 @@
   uint32_t crash_count_ = 0;
   bool claim_held_ = false;
   // True once the entry has admitted a new request.
-  bool planned_ = false;
+  bool admitted_ = false;
   // True once a target has run the request and not failed.
   bool served_ = false;
   // True once an attempt has ended with an answer of its target, or without a statement that the
--- a/src/gateway/internal/entry_call.cc
+++ b/src/gateway/internal/entry_call.cc
@@ -80,7 +80,7 @@
       return RespondWithError(
           {error_kind::kOverloaded, absl::StrCat("Service ", shortage->service, " has no room.")});
     }
-    planned_ = true;
+    admitted_ = true;
   }
   // Refuses a request that its service would shed before it uses a token or a claim.
   if (!deps_.targets.AnyTargetAdmits(resolved_.request, started_at_)) {
@@ -339,9 +339,9 @@
 }
 
 void entry_call::Finish(http_response response) {
-  if (planned_ && attempt_count_ == 0) {
+  if (admitted_ && attempt_count_ == 0) {
     deps_.graph.RecordWithdrawn(resolved_.request, deps_.clock.Now());
-  } else if (planned_) {
+  } else if (admitted_) {
     deps_.graph.RecordEnded(resolved_.request, served_, deps_.clock.Now());
   }
   deps_.graph.RecordEntryEnd(resolved_.request.route, started_at_, reached_target_,
