Replace a voter as soon as it leaves heartbeats unanswered, if a learner has caught up

Cause: the planner knew the members only from the syncs of their daemons, one a second, and replaced a voter after 2 s without contact. It also ran only when a sync arrived, and a new leader counted every member as alive at its election. The learner held everything, but had no vote when the disks were lost. Ruled out: too few copies of the record; a learner that lags (no change was planned at all).

Change: a replica counts the regular heartbeats that each member leaves unanswered, which do not grow while the leader itself is suspended. With a learner that has caught up, a voter silent for the minimum election timeout is replaced. The planner runs with each heartbeat. A new leader starts with the silence of those that did not vote for it. A ready learner is promoted before further spare members are added.

--- a/src/control/control_member.h
+++ b/src/control/control_member.h
@@ -40,6 +40,9 @@
   /// longest lifetime that can be granted, counted from `since`.
   virtual void OnLeadershipChange(bool leader, absl::Time since) = 0;
 
+  /// This member, as the leader, has sent its regular heartbeats.
+  virtual void OnHeartbeat() {}
+
   /// A manifest was applied, or was loaded from a snapshot.
   virtual void OnManifestApplied(std::shared_ptr<const manifest_record> manifest) = 0;
 };
@@ -61,6 +64,8 @@
   std::vector<control_member_info> members;
   /// False while it is unknown whether the last change of `members` is committed.
   bool members_committed = true;
+  /// What the leader knows of the other members. Empty at members that do not lead.
+  std::vector<member_progress> progress;
   /// Set when `role` is kFailed, and while the disk refuses writes.
   error failure;
 };
--- a/src/control/internal/member_core.cc
+++ b/src/control/internal/member_core.cc
@@ -231,7 +231,11 @@
     bootstrap_output output = bootstrap_.Tick(state, now);
     RunBootstrap(std::move(output), std::move(state), now);
   }
+  const absl::Time next_tick = replica_->NextTick();
   replica_->Tick(now);
+  const bool heartbeats_sent = replica_->IsLeader() && replica_->NextTick() != next_tick;
+  if (!heartbeats_sent || observer_ == nullptr) return;
+  callbacks_.push_back([observer = observer_] { observer->OnHeartbeat(); });
 }
 
 absl::Time member_core::NextTick() const {
@@ -392,6 +396,7 @@
   status.leader_address = failed_ ? std::string() : replica_->LeaderAddress();
   status.failure = failure_;
   status.members_committed = replica_->IsConfigurationCommitted();
+  status.progress = failed_ ? std::vector<member_progress>() : replica_->Progress();
   status.members.clear();
   for (const group_member& member : replica_->Configuration()) {
     status.members.push_back({member.member_id, member.address, member.data_centre, member.voter});
--- a/src/control/internal/membership_planner.cc
+++ b/src/control/internal/membership_planner.cc
@@ -23,6 +23,7 @@
 void membership_planner::StartTerm(absl::Time now) {
   term_start_ = now;
   contacts_.clear();
+  progress_.clear();
 }
 
 void membership_planner::RecordContact(member_contact contact, absl::Time now) {
@@ -30,6 +31,16 @@
   contacts_[member_id] = {std::move(contact), now};
 }
 
+void membership_planner::RecordProgress(absl::Span<const member_progress> progress) {
+  progress_.clear();
+  for (const member_progress& member : progress) progress_[member.member_id] = member;
+}
+
+const member_progress* membership_planner::FindProgress(uint64_t member_id) const {
+  const auto found = progress_.find(member_id);
+  return found == progress_.end() ? nullptr : &found->second;
+}
+
 absl::Time membership_planner::LastContactTime(const control_member_info& member, uint64_t own_id,
                                                absl::Time now) const {
   if (member.member_id == own_id) return now;
@@ -90,12 +101,28 @@
   return unreachable;
 }
 
+const control_member_info* membership_planner::FindSilentVoter(member_span members) const {
+  const control_member_info* silent = nullptr;
+  absl::Duration longest = settings_.silence_timeout;
+  for (const control_member_info& member : members) {
+    const member_progress* progress = FindProgress(member.member_id);
+    if (!member.voter || progress == nullptr || progress->silence < longest) continue;
+    longest = progress->silence;
+    silent = &member;
+  }
+  return silent;
+}
+
 const control_member_info* membership_planner::FindReadyLearner(member_span members,
                                                                 uint64_t own_id,
                                                                 absl::Time now) const {
   const control_member_info* first = nullptr;
   for (const control_member_info& member : members) {
     if (member.voter || !IsAlive(member, own_id, now) || IsDraining(member)) continue;
+    const member_progress* progress = FindProgress(member.member_id);
+    const bool lags = progress != nullptr &&
+                      (!progress->caught_up || progress->silence >= settings_.silence_timeout);
+    if (lags) continue;
     if (member.member_id > last_promotion_id_) return &member;
     if (first == nullptr) first = &member;
   }
@@ -128,7 +155,9 @@
   if (voters > settings_.desired_voters) return FindSurplusVoter(members, own_id, now);
   const bool replaceable =
       voters == settings_.desired_voters && FindReadyLearner(members, own_id, now) != nullptr;
-  return replaceable ? FindUnreachableMember(members, true, own_id, now) : nullptr;
+  if (!replaceable) return nullptr;
+  if (const auto* silent = FindSilentVoter(members)) return silent;
+  return FindUnreachableMember(members, true, own_id, now);
 }
 
 const member_contact* membership_planner::FindNewLearner(member_span members,
@@ -150,22 +179,28 @@
   if (removed != nullptr && CanRemove(*removed, members, own_id, now)) {
     return command(remove_member{removed->member_id});
   }
+  const control_member_info* learner = FindReadyLearner(members, own_id, now);
+  const bool promotes = learner != nullptr && NeedsVoter(members);
+  const member_progress* progress = promotes ? FindProgress(learner->member_id) : nullptr;
+  if (progress != nullptr && progress->caught_up) {
+    return command(promote_learner{learner->member_id});
+  }
   // A learner that does not catch up must not keep other spare members out of the group.
   if (const member_contact* added = FindNewLearner(members, now)) {
     return command(add_learner{added->member_id, added->address, added->data_centre});
   }
-  const control_member_info* learner = FindReadyLearner(members, own_id, now);
-  if (learner == nullptr) return absl::nullopt;
-  const size_t voters = CountVoters(members);
-  const bool voter_leaves = std::any_of(
-      members.begin(), members.end(),
-      [&](const control_member_info& member) { return member.voter && IsDraining(member); });
-  const bool needed =
-      voters < settings_.desired_voters || (voters == settings_.desired_voters && voter_leaves);
-  if (!needed) return absl::nullopt;
+  if (!promotes) return absl::nullopt;
   return command(promote_learner{learner->member_id});
 }
 
+bool membership_planner::NeedsVoter(member_span members) const {
+  const size_t voters = CountVoters(members);
+  if (voters != settings_.desired_voters) return voters < settings_.desired_voters;
+  return std::any_of(members.begin(), members.end(), [this](const control_member_info& member) {
+    return member.voter && IsDraining(member);
+  });
+}
+
 absl::optional<command> membership_planner::NextChange(
     absl::Span<const control_member_info> members, uint64_t own_id, absl::Time now) {
   if (settings_.desired_voters == 0 || now < next_change_time_) return absl::nullopt;
--- a/src/control/internal/raft_election.cc
+++ b/src/control/internal/raft_election.cc
@@ -4,6 +4,12 @@
 #include "control/raft_replica.h"
 
 namespace teaseljunction {
+namespace {
+
+// Heartbeats of a new leader that members which have not voted for it are left to answer.
+constexpr uint64_t kHeartbeatsToAnswer = 2;
+
+}  // namespace
 
 void raft_replica::ResetElectionDeadline(absl::Time now) {
   const absl::Duration span = settings_.election_timeout_max - settings_.election_timeout_min;
@@ -128,6 +134,7 @@
   term_start_time_ = log_.LastTime();
   peers_.clear();
   SyncPeersWithConfiguration();
+  AssumeSilence();
   // Records of earlier terms are committed only together with one of this term, so the leader
   // appends a no-op record.
   term_start_index_ = log_.LastIndex() + 1;
@@ -135,4 +142,15 @@
   SendHeartbeats(now);
 }
 
+void raft_replica::AssumeSilence() {
+  // The former leader has been silent for the minimum election timeout, and others that have not
+  // voted may have ended with it.
+  const auto silent =
+      static_cast<uint64_t>(settings_.election_timeout_min / settings_.heartbeat_interval);
+  for (auto& [member_id, peer] : peers_) {
+    if (votes_.count(member_id) > 0) continue;
+    peer.unanswered_heartbeats = silent - std::min(silent, kHeartbeatsToAnswer);
+  }
+}
+
 }  // namespace teaseljunction
--- a/src/control/internal/raft_replica.cc
+++ b/src/control/internal/raft_replica.cc
@@ -140,9 +140,9 @@
   if (existing == nullptr) return teaseljunction::Fail(error_kind::kNotFound, "Unknown member id.");
   if (existing->voter) return 0;
   const auto peer = peers_.find(change.member_id);
-  const bool caught_up = peer != peers_.end() && HasRecentContact(peer->second, now) &&
-                         peer->second.match_index + settings_.max_promotion_lag >= log_.LastIndex();
-  if (!caught_up) {
+  const bool ready =
+      peer != peers_.end() && HasRecentContact(peer->second, now) && HasCaughtUp(peer->second);
+  if (!ready) {
     return teaseljunction::Fail(error_kind::kNoQuorum, "The learner has not caught up yet.");
   }
   group_configuration next = Configuration();
@@ -169,6 +169,21 @@
   return now - peer.acked_send_time <= settings_.election_timeout_max;
 }
 
+bool raft_replica::HasCaughtUp(const peer_progress& peer) const {
+  return peer.match_index + settings_.max_promotion_lag >= log_.LastIndex();
+}
+
+std::vector<member_progress> raft_replica::Progress() const {
+  std::vector<member_progress> progress;
+  if (role_ != member_role::kLeader) return progress;
+  progress.reserve(peers_.size());
+  for (const auto& [member_id, peer] : peers_) {
+    progress.push_back(
+        {member_id, settings_.heartbeat_interval * peer.unanswered_heartbeats, HasCaughtUp(peer)});
+  }
+  return progress;
+}
+
 result<uint64_t> raft_replica::AppendConfiguration(group_configuration configuration,
                                                    absl::Time now) {
   size_t voters = 0;
--- a/src/control/internal/raft_replication.cc
+++ b/src/control/internal/raft_replication.cc
@@ -91,6 +91,7 @@
   if (found == peers_.end()) return;
   peer_progress& peer = found->second;
   peer.acked_send_time = std::max(peer.acked_send_time, std::min(message.send_time, now));
+  peer.unanswered_heartbeats = 0;
   if (!message.accepted) return HandleAppendRejection(peer, message, now);
   const bool lease_only = message.log_index == 0;
   if (lease_only || message.log_index > log_.LastIndex()) return;
@@ -154,7 +155,9 @@
   next_heartbeat_ = now + settings_.heartbeat_interval;
   for (const group_member& member : Configuration()) {
     const auto peer = peers_.find(member.member_id);
-    if (peer != peers_.end()) SendHeartbeat(member, peer->second, now);
+    if (peer == peers_.end()) continue;
+    ++peer->second.unanswered_heartbeats;
+    SendHeartbeat(member, peer->second, now);
   }
 }
 
--- a/src/control/membership_planner.h
+++ b/src/control/membership_planner.h
@@ -20,6 +20,9 @@
   absl::Duration alive_timeout = absl::Seconds(2);
   /// A member without contact for this time is replaced if a spare member is available.
   absl::Duration replacement_timeout = absl::Seconds(4);
+  /// A voter that has left heartbeats unanswered for this time is replaced if a learner has caught
+  /// up. Until then the group bears one loss less, although the learner stores everything.
+  absl::Duration silence_timeout = raft_timing().election_timeout_min;
   /// Largest number of spare members that receive the log as learners while no voter is missing.
   size_t max_spare_learners = 2;
   /// Time after which a change is planned again if it has not been made.
@@ -42,7 +45,10 @@
 /// at once. A voter that is draining still counts towards the majority, so the learner is promoted
 /// before that voter is removed. A voter that restarted with an empty directory under a new id, or
 /// that was without contact for too long, no longer counts, so it is removed before a learner is
-/// promoted. A voter is removed only if a majority of the remaining voters is alive.
+/// promoted. With a learner that has caught up, a voter is replaced as soon as it leaves heartbeats
+/// unanswered: it may have been removed for good, and then only its replacement restores the number
+/// of losses that the group bears. A voter that was replaced too early comes back as a learner. A
+/// voter is removed only if a majority of the remaining voters is alive.
 class membership_planner {
  public:
   explicit membership_planner(const membership_planner_settings& settings) : settings_(settings) {}
@@ -53,6 +59,9 @@
   /// Records a contact with a member: it has a data directory and is alive at its address.
   void RecordContact(member_contact contact, absl::Time now);
 
+  /// Replaces what the leader knows of the other members from its heartbeats.
+  void RecordProgress(absl::Span<const member_progress> progress);
+
   /// Returns the change to propose now, if any. `members` are the current members of the group.
   absl::optional<command> NextChange(absl::Span<const control_member_info> members, uint64_t own_id,
                                      absl::Time now);
@@ -84,8 +93,13 @@
   // `replacement_timeout`.
   const control_member_info* FindUnreachableMember(member_span members, bool voter, uint64_t own_id,
                                                    absl::Time now) const;
-  // A learner that is alive and stays. The learners take turns, since the first one may not have
-  // caught up.
+  // The voter that has left heartbeats unanswered for the longest time, if that time is at least
+  // `silence_timeout`.
+  const control_member_info* FindSilentVoter(member_span members) const;
+  // Returns null if the leader has sent the member no heartbeat yet.
+  const member_progress* FindProgress(uint64_t member_id) const;
+  // A learner that is alive and stays, and that has caught up as far as the leader knows. The
+  // learners take turns, since a promotion may be refused.
   const control_member_info* FindReadyLearner(member_span members, uint64_t own_id,
                                               absl::Time now) const;
   // The voter that a group with too many voters can best do without.
@@ -94,6 +108,8 @@
   // A member that should no longer be in the group.
   const control_member_info* FindMemberToRemove(member_span members, uint64_t own_id,
                                                 absl::Time now) const;
+  // True while a voter is missing or leaves.
+  bool NeedsVoter(member_span members) const;
   // A spare member that should become a learner.
   const member_contact* FindNewLearner(member_span members, absl::Time now) const;
 
@@ -101,6 +117,7 @@
   absl::Time term_start_ = absl::InfiniteFuture();
   absl::Time next_change_time_ = absl::InfinitePast();
   std::map<uint64_t, timed_contact> contacts_;
+  std::map<uint64_t, member_progress> progress_;
   // The learner that was last proposed as a voter.
   uint64_t last_promotion_id_ = 0;
 };
--- a/src/control/raft_replica.h
+++ b/src/control/raft_replica.h
@@ -141,6 +141,8 @@
   bool HoldsLease(absl::Time now) const { return now < LeaseUntil(now); }
   /// Time of this leader's election, or absl::InfiniteFuture() if this member is not the leader.
   absl::Time LeaderSince() const;
+  /// What the leader knows of the other members. Empty if this member is not the leader.
+  std::vector<member_progress> Progress() const;
   /// 0 when the leader is unknown.
   uint64_t LeaderId() const { return leader_id_; }
   /// Empty when the leader is unknown.
@@ -168,6 +170,8 @@
     // The records above this index and below `next_index` were sent and not answered yet.
     uint64_t answered_index = 0;
     absl::Time snapshot_send_time = absl::InfinitePast();
+    // Regular heartbeats since the last answer.
+    uint64_t unanswered_heartbeats = 0;
   };
 
   // Elections.
@@ -207,6 +211,9 @@
   result<void> CheckProposal(absl::Time now) const;
   result<void> CheckChange(absl::Time now) const;
   bool HasRecentContact(const peer_progress& peer, absl::Time now) const;
+  bool HasCaughtUp(const peer_progress& peer) const;
+  // Treats the members that have not voted for this leader as silent since before its election.
+  void AssumeSilence();
   result<uint64_t> AppendConfiguration(group_configuration configuration, absl::Time now);
 
   raft_message NewMessage(raft_message_kind kind, uint64_t to) const;
--- a/src/control/tests/group_failure_test.cc
+++ b/src/control/tests/group_failure_test.cc
@@ -253,6 +253,21 @@
   void LoseReplaced() {
     for (const int node : replaced_) group_.Depart(node);
   }
+  // The replaced members end one after the other instead of at once.
+  void LoseReplacedInTurn(absl::Duration interval) {
+    for (const int node : replaced_) {
+      group_.Depart(node);
+      group_.Run(interval);
+    }
+  }
+  // The leader restarts, so that another member has to find out which members are gone.
+  void RestartLeader() {
+    const int leader = group_.Leader();
+    if (leader < 0) return;
+    group_.EndProcess(leader);
+    group_.Run(absl::Milliseconds(100));
+    group_.Restart(leader);
+  }
   void EraseReplaced() { EraseDisks(replaced_); }
 
   // Takes the disks of `count` further members.
@@ -327,6 +342,37 @@
   LoseDisksBesideReplaced(run);
 }
 
+// Time in which the group replaces a member that has ended without notice by a learner that has
+// caught up, and in which it elects another leader as well: the maximum election timeout, the
+// silence timeout, and some time for the changes.
+constexpr absl::Duration kReplacementTime = absl::Milliseconds(1800);
+
+// The old members end without notice after their successors have caught up, at once or in turn.
+void RemovalWithoutNotice(replacement_run& run) {
+  run.StartSuccessors();
+  run.Group().Run(kCatchUpTime);
+  if (run.Group().Random().Below(2) == 0) {
+    run.LoseReplaced();
+  } else {
+    run.LoseReplacedInTurn(absl::Milliseconds(300));
+  }
+  run.Group().Run(kReplacementTime);
+  run.LoseDisks(run.Case().tolerated);
+  run.CheckRecovery();
+}
+
+// As before, and the leader changes before the other losses.
+void RemovalAndChangeOfLeader(replacement_run& run) {
+  run.StartSuccessors();
+  run.Group().Run(kCatchUpTime);
+  run.LoseReplaced();
+  run.Group().Run(absl::Milliseconds(400) * run.Group().Random().Fraction());
+  run.RestartLeader();
+  run.Group().Run(2 * kReplacementTime);
+  run.LoseDisks(run.Case().tolerated);
+  run.CheckRecovery();
+}
+
 // Members restart with empty disks. They count as lost until they have caught up.
 void ReplacementOfDisks(replacement_run& run) {
   run.EraseReplaced();
@@ -356,13 +402,17 @@
     {"replacement of disks", ReplacementOfDisks},
     {"replacement whose successor dies", ReplacementWhoseSuccessorDies},
 };
+
+constexpr replacement_scenario kRemovals[] = {
+    {"removal without notice", RemovalWithoutNotice},
+    {"removal and change of leader", RemovalAndChangeOfLeader},
+};
 constexpr int kMaxTolerated = 4;
 // Losses strike at any moment until some time after the old members have gone.
 constexpr absl::Duration kMaxLossTime = absl::Seconds(7);
 
-std::string RunReplacementSeed(uint64_t seed) {
+std::string RunReplacement(const replacement_scenario& chosen, uint64_t seed) {
   seeded_random_source random(seed);
-  const replacement_scenario& chosen = kReplacements[seed % std::size(kReplacements)];
   replacement_case parameters;
   parameters.tolerated = 1 + static_cast<int>(random.Below(kMaxTolerated));
   const int max_replaced = std::min(parameters.tolerated, 2);
@@ -379,6 +429,14 @@
   return {};
 }
 
+std::string RunReplacementSeed(uint64_t seed) {
+  return RunReplacement(kReplacements[seed % std::size(kReplacements)], seed);
+}
+
+std::string RunRemovalSeed(uint64_t seed) {
+  return RunReplacement(kRemovals[seed % std::size(kRemovals)], seed);
+}
+
 // Requires that `run` returns no violation for any seed. TEASELJUNCTION_SEED sets the first seed
 // and TEASELJUNCTION_SEEDS the number of seeds.
 void CheckSeeds(absl::string_view test_name, uint64_t default_count, std::string (*run)(uint64_t)) {
@@ -402,6 +460,13 @@
              &RunReplacementSeed);
 }
 
+// Guards against review case 6 (issue 48): a configuration that is lost with two disks, because a
+// member that was removed without notice stays a voter although its successor has caught up.
+TEST_CASE("the group bears losses of disks soon after a removal without notice") {
+  CheckSeeds("the group bears losses of disks soon after a removal without notice", 120,
+             &RunRemovalSeed);
+}
+
 // Guards against violations of the invariants that simulated_group checks, in each failure
 // scenario.
 TEST_CASE("the group keeps its invariants under failures") {
--- a/src/control/tests/membership_planner_test.cc
+++ b/src/control/tests/membership_planner_test.cc
@@ -223,4 +223,57 @@
   CHECK_FALSE(planner.NextChange({Voter(1)}, kOwnId, absl::UnixEpoch()));
 }
 
+namespace {
+
+/// A group of five whose fifth voter has left heartbeats unanswered for `silence`, and the learner
+/// 77. The time without contact alone is too short for a replacement.
+group_of_five GroupWithLearner(absl::Duration silence, bool caught_up) {
+  group_of_five group;
+  group.AdvanceTime(absl::Seconds(10), {2, 3, 4, 5, 77});
+  group.AdvanceTime(absl::Seconds(3), {2, 3, 4, 77});
+  group.Apply(add_learner{77, "10.0.0.77:7000", "dc"});
+  group.changes.clear();
+  const std::vector<member_progress> progress = {{2, absl::ZeroDuration(), true},
+                                                 {3, absl::ZeroDuration(), true},
+                                                 {4, absl::ZeroDuration(), true},
+                                                 {5, silence, true},
+                                                 {77, absl::ZeroDuration(), caught_up}};
+  group.planner.RecordProgress(progress);
+  return group;
+}
+
+const absl::Duration kSilenceTimeout = membership_planner_settings().silence_timeout;
+
+}  // namespace
+
+// Guards against review case 6: a member that was removed without notice stays a voter until the
+// replacement timeout, although its successor has caught up.
+TEST_CASE("a voter that leaves heartbeats unanswered is replaced by a learner that has caught up") {
+  group_of_five group = GroupWithLearner(kSilenceTimeout, true);
+  CHECK(group.CarryOutChanges() == std::vector<uint64_t>{1, 2, 3, 4, 77});
+  REQUIRE(group.changes.size() == 2);
+  CHECK(std::get<remove_member>(group.changes[0]).member_id == 5);
+  CHECK(std::get<promote_learner>(group.changes[1]).member_id == 77);
+}
+
+TEST_CASE("a voter that answers heartbeats in time is not replaced") {
+  group_of_five group = GroupWithLearner(kSilenceTimeout - absl::Milliseconds(1), true);
+  CHECK(group.CarryOutChanges() == kFirstFive);
+}
+
+// Guards against a removal for which no learner could be promoted.
+TEST_CASE("a silent voter is not replaced by a learner that lags") {
+  group_of_five group = GroupWithLearner(kSilenceTimeout, false);
+  CHECK(group.CarryOutChanges() == kFirstFive);
+}
+
+// Guards against a voter that was replaced because of a short silence and stays out of the group.
+TEST_CASE("a voter that was replaced too early comes back as a learner") {
+  group_of_five group = GroupWithLearner(kSilenceTimeout, true);
+  group.HearFrom(5, 5);
+  CHECK(group.CarryOutChanges() == std::vector<uint64_t>{1, 2, 3, 4, 77});
+  REQUIRE(group.changes.size() == 3);
+  CHECK(std::get<add_learner>(group.changes[2]).member_id == 5);
+}
+
 }  // namespace teaseljunction
--- a/src/control/tests/mocks/simulated_group.cc
+++ b/src/control/tests/mocks/simulated_group.cc
@@ -201,6 +201,9 @@
                          leader_node.blocked_from.count(node.number) == 0;
     if (reports) Report(node, leader_node);
   }
+  if (now_ < next_plan_) return;
+  next_plan_ = now_ + raft_timing().heartbeat_interval;
+  PlanNextChange(leader_node);
 }
 
 void simulated_group::Report(node_state& from, node_state& leader) {
@@ -217,13 +220,21 @@
       {MemberId(from.number), absl::StrCat(from.number), std::string(kDataCentre), draining},
       local);
   if (!status.members_committed) return;
-  const auto change = leader.planner->NextChange(status.members, status.member_id, local);
+  PlanNextChange(leader);
   if (draining) EndDrainIfDue(from, status);
+}
+
+void simulated_group::PlanNextChange(node_state& leader) {
+  const control_status& status = leader.core->View().status;
+  if (!status.members_committed || leader.planner_term != status.term) return;
+  leader.planner->RecordProgress(status.progress);
+  const auto change =
+      leader.planner->NextChange(status.members, status.member_id, LocalTime(leader));
   if (!change) return;
-  Propose(leader.number, *change, [&from, &leader](const propose_response& response) {
+  Propose(leader.number, *change, [this, &leader](const propose_response& response) {
     if (!response.result.applied || !leader.planner) return;
     leader.planner->AllowNextChange();
-    from.next_report = absl::InfinitePast();
+    next_plan_ = absl::InfinitePast();
   });
 }
 
--- a/src/control/tests/mocks/simulated_group.h
+++ b/src/control/tests/mocks/simulated_group.h
@@ -147,6 +147,7 @@
   absl::Time LocalTime(const node_state& node) const;
   void RunReports();
   void Report(node_state& from, node_state& leader);
+  void PlanNextChange(node_state& leader);
   void EndDrainIfDue(node_state& node, const control_status& leader);
   void Deliver(int from, absl::string_view address, const std::string& message);
   void RunBatch(node_state& node);
@@ -164,6 +165,8 @@
   int initial_voters_;
   uint64_t min_durable_copies_;
   membership_planner_settings planner_settings_;
+  // Time at which the leader next plans a change with its heartbeats.
+  absl::Time next_plan_ = absl::InfinitePast();
   seeded_random_source random_;
   absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
   std::vector<node_state> nodes_;
--- a/src/control/types.h
+++ b/src/control/types.h
@@ -149,6 +149,16 @@
 /// What a record holds. `kNoOp` is the record that a new leader appends.
 enum class record_kind : uint8_t { kNoOp, kCommand, kConfiguration };
 
+/// What the leader knows of another member of the group.
+struct member_progress {
+  uint64_t member_id = 0;
+  /// Time covered by the regular heartbeats that the member has left unanswered. Unlike the time
+  /// since its last answer, it does not grow while the leader itself is suspended.
+  absl::Duration silence;
+  /// True if the member lacks few enough records to be promoted.
+  bool caught_up = false;
+};
+
 /// One record of the replicated log.
 struct log_record {
   uint64_t index = 0;
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -67,24 +67,29 @@
 // Incarnations must increase with each restart, so they are taken from the wall clock.
 uint64_t NewIncarnation() { return static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())); }
 
-// Makes all daemons fetch a new manifest as soon as the leader has applied it.
-class manifest_observer : public control_observer {
+// Passes events of the control member on to the leader service.
+class leader_observer : public control_observer {
  public:
-  explicit manifest_observer(event_loop& loop) : loop_(loop) {}
+  explicit leader_observer(event_loop& loop) : loop_(loop) {}
 
   void SetLeader(leader_service* leader) { leader_service_ = leader; }
 
   void OnLeadershipChange(bool, absl::Time) override {}
+  void OnHeartbeat() override { PostToLeader(&leader_service::PlanMembers); }
   void OnManifestApplied(std::shared_ptr<const manifest_record>) override {
-    // Runs on the event loop, because the control thread must not wait for locks of the leader
-    // service.
-    loop_.Post([this] {
+    PostToLeader(&leader_service::RequestSyncs);
+  }
+
+ private:
+  // Runs on the event loop, because the control thread must not wait for locks of the leader
+  // service.
+  void PostToLeader(void (leader_service::*method)()) {
+    loop_.Post([this, method] {
       leader_service* leader = leader_service_;
-      if (leader != nullptr) leader->RequestSyncs();
+      if (leader != nullptr) (leader->*method)();
     });
   }
 
- private:
   event_loop& loop_;
   std::atomic<leader_service*> leader_service_ = nullptr;
 };
@@ -144,7 +149,7 @@
   std::unique_ptr<target_executor> executor_;
   std::unique_ptr<target_probe> probe_;
   std::unique_ptr<peer_raft_transport> raft_transport_;
-  manifest_observer manifest_observer_{loop_};
+  leader_observer leader_observer_{loop_};
   std::unique_ptr<control_member> member_;
   std::unique_ptr<leader_service> leader_service_;
   std::unique_ptr<daemon_node> node_;
@@ -228,7 +233,7 @@
   entry_server_.reset();
   operators_server_.reset();
   rpc_server_.reset();
-  loop_.RunAndWait([this] { manifest_observer_.SetLeader(nullptr); });
+  loop_.RunAndWait([this] { leader_observer_.SetLeader(nullptr); });
   member_.reset();
   peers_.reset();
   client_.reset();
@@ -250,16 +255,17 @@
                                  .WithClock(clock_)
                                  .WithRandom(random_)
                                  .WithTransport(*raft_transport_)
-                                 .WithObserver(manifest_observer_)
+                                 .WithObserver(leader_observer_)
                                  .Build());
   leader_service_ = std::make_unique<leader_service>(
       clock_, *member_, *peers_, decode_,
       membership_planner_settings{
           .desired_voters = settings_.control_voters,
           .replacement_timeout = settings_.control_replacement_timeout,
+          .silence_timeout = settings_.control_timing.election_timeout_min,
           .max_spare_learners = std::max<size_t>(settings_.control_voters / 2, 1)},
       settings_.tolerance);
-  manifest_observer_.SetLeader(leader_service_.get());
+  leader_observer_.SetLeader(leader_service_.get());
   sync_->SetControlMember(member_->Status().member_id);
   return {};
 }
--- a/src/daemon/internal/leader_service.cc
+++ b/src/daemon/internal/leader_service.cc
@@ -90,7 +90,7 @@
   response.grants = Grant(request, now);
   response.suspect_fingerprints = ProcessCrashReports(request, now);
   response.quarantined_fingerprints = member_.QuarantinedFrom(request.quarantine_size);
-  response.control_addresses = PlanMembers(request.daemon, now);
+  response.control_addresses = RecordMember(request.daemon, now);
   response.from_leader = true;
   return response;
 }
@@ -120,25 +120,40 @@
   return directory_.ChangesSince(request.directory_epoch, request.directory_version);
 }
 
-std::vector<std::string> leader_service::PlanMembers(const daemon_announcement& daemon,
-                                                     absl::Time now) {
+std::vector<std::string> leader_service::RecordMember(const daemon_announcement& daemon,
+                                                      absl::Time now) {
   const control_status status = member_.Status();
-  absl::optional<command> change;
-  {
+  if (daemon.control_member_id != 0 && !FindDaemonError(daemon)) {
     absl::MutexLock lock(&planner_mutex_);
-    if (daemon.control_member_id != 0 && !FindDaemonError(daemon)) {
-      planner_.RecordContact(
-          {daemon.control_member_id, daemon.address, daemon.data_centre, daemon.draining}, now);
-    }
-    if (!status.members_committed) return {};
-    change = planner_.NextChange(status.members, status.member_id, now);
+    planner_.RecordContact(
+        {daemon.control_member_id, daemon.address, daemon.data_centre, daemon.draining}, now);
   }
+  if (!status.members_committed) return {};
+  PlanNextChange(status, daemon.address, now);
   std::vector<std::string> addresses;
   for (const control_member_info& member : status.members) addresses.push_back(member.address);
-  if (change) ProposeChange(*std::move(change), daemon.address);
   return addresses;
 }
 
+void leader_service::PlanMembers() {
+  const absl::Time now = clock_.Now();
+  if (!StartTermIfNew(now)) return;
+  const control_status status = member_.Status();
+  if (!status.members_committed) return;
+  PlanNextChange(status, status.leader_address, now);
+}
+
+void leader_service::PlanNextChange(const control_status& status, std::string reporter,
+                                    absl::Time now) {
+  absl::optional<command> change;
+  {
+    absl::MutexLock lock(&planner_mutex_);
+    planner_.RecordProgress(status.progress);
+    change = planner_.NextChange(status.members, status.member_id, now);
+  }
+  if (change) ProposeChange(*std::move(change), std::move(reporter));
+}
+
 void leader_service::ProposeChange(command change, std::string reporter) {
   std::string description = Describe(change);
   member_.Propose(std::move(change),
--- a/src/daemon/leader_service.h
+++ b/src/daemon/leader_service.h
@@ -37,6 +37,11 @@
   /// leader's lease.
   sync_response Sync(const sync_request& request);
 
+  /// Proposes the next change of the control group, if one is due. Called with each heartbeat of
+  /// this member, because a sync may come a second later. Does nothing unless this member is the
+  /// leader.
+  void PlanMembers();
+
  private:
   bool StartTermIfNew(absl::Time now);
   directory_update UpdateDirectory(const sync_request& request, absl::Time now,
@@ -46,7 +51,9 @@
   std::vector<std::string> ProcessCrashReports(const sync_request& request, absl::Time now);
   // Records the control member of a daemon and proposes the next change of the group, if one is
   // due. Returns the addresses of all control members, or none while a change is not committed.
-  std::vector<std::string> PlanMembers(const daemon_announcement& daemon, absl::Time now);
+  std::vector<std::string> RecordMember(const daemon_announcement& daemon, absl::Time now);
+  // Proposes the next change of a group whose last change is committed.
+  void PlanNextChange(const control_status& status, std::string reporter, absl::Time now);
   // Proposes a change of the group, and asks the daemon at `reporter` to sync once it is made.
   void ProposeChange(command change, std::string reporter);
   // Returns the compressed content of a manifest. Compresses each manifest once.
