Refuse answers of targets whose status is none

Callers saw: on other systems, an answer with the status 000. Here 000 was refused already, but a status line such as "200x", or with two blanks or a tab, reached them as 200 with the target's mark, and 600 and 999 counted as answers of a sound target, for which the entry daemon then answered 500 (rule MIXED).

Cause: the status was the one that libcurl reads, up to three digits with anything around them, and only a status below 200 was refused. Answers in RPCs were not looked at again.

Change: the client reads the status line itself; 101 is not an interim status, as no request asks for another protocol. Such an answer ends its connection and counts as a failure of the target that may have run.

--- a/src/common/types.h
+++ b/src/common/types.h
@@ -46,6 +46,9 @@
 /// request.
 uint8_t CohortOf(absl::string_view client_account, absl::string_view request_id);
 
+/// Returns whether `status` is that of a final HTTP response, from 200 to 599.
+constexpr bool IsFinalStatus(int status) { return status >= 200 && status < 600; }
+
 /// An HTTP header. Names are case-insensitive.
 struct http_header {
   std::string name;
--- a/src/http/internal/curl_transfer.cc
+++ b/src/http/internal/curl_transfer.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
 #include "common/clock_source.h"
 #include "http/internal/headers.h"
 
@@ -16,12 +17,34 @@
 // Successful responses have a status in [kMinSuccessStatus, kMinRedirectStatus).
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
+constexpr int kMinInterimStatus = 100;
+constexpr int kSwitchingProtocolsStatus = 101;
+constexpr size_t kStatusDigits = 3;
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
 /// Memory that a header takes in addition to its line, which counts towards the limit.
 constexpr size_t kHeaderOverheadBytes = 64;
 /// Largest part of a body for which memory is reserved before it arrives.
 constexpr size_t kMaxReservedBytes = size_t{16} << 10;
 
+// No request asks for another protocol, so 101 answers none of them.
+bool IsInterimStatus(int status) {
+  return status >= kMinInterimStatus && status < kMinSuccessStatus &&
+         status != kSwitchingProtocolsStatus;
+}
+
+// Returns the three digits after the version, or nothing if the line has another form.
+absl::optional<int> ParseStatusLine(absl::string_view line) {
+  line = absl::StripTrailingAsciiWhitespace(line);
+  const bool known_version =
+      absl::ConsumePrefix(&line, "HTTP/1.1 ") || absl::ConsumePrefix(&line, "HTTP/1.0 ");
+  const absl::string_view digits = line.substr(0, line.find(' '));
+  int status = 0;
+  const bool usable = known_version && digits.size() == kStatusDigits &&
+                      std::all_of(digits.begin(), digits.end(), absl::ascii_isdigit) &&
+                      absl::SimpleAtoi(digits, &status);
+  return usable ? absl::make_optional(status) : absl::nullopt;
+}
+
 bool IsToken(absl::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
     return absl::ascii_isalnum(c) || absl::StrContains("!#$%&'*+-.^_`|~", c);
@@ -199,17 +222,10 @@
     return false;
   }
   if (!UpdateHeldBytes()) return false;
-  if (absl::StartsWith(line, "HTTP/")) {
-    // Discard the headers of an interim (1xx) response.
-    response_.headers.clear();
-    framing_known_ = false;
-    SetEchoMatched(false);
-    head_complete_ = false;
-    length_ = absl::nullopt;
-    return true;
-  }
+  if (expects_status_line_) return ReadStatusLine(line);
   if (line == "\r\n" || line == "\n") {
     head_complete_ = true;
+    expects_status_line_ = response_.status < kMinSuccessStatus;
     return true;
   }
   const size_t colon = line.find(':');
@@ -250,6 +266,22 @@
   return true;
 }
 
+bool curl_transfer::ReadStatusLine(absl::string_view line) {
+  const absl::optional<int> status = ParseStatusLine(line);
+  // libcurl takes up to three digits from any place near the start of the line.
+  status_usable_ = status && (IsFinalStatus(*status) || IsInterimStatus(*status));
+  if (!status_usable_) return false;
+  expects_status_line_ = false;
+  response_.status = *status;
+  // Discard the headers of an interim response.
+  response_.headers.clear();
+  framing_known_ = false;
+  SetEchoMatched(false);
+  head_complete_ = false;
+  length_ = absl::nullopt;
+  return true;
+}
+
 size_t curl_transfer::OnBody(char* data, size_t size, size_t count, void* self) {
   auto* transfer = static_cast<curl_transfer*>(self);
   const size_t bytes = size * count;
@@ -291,9 +323,6 @@
     done_(ErrorFor(code));
     return;
   }
-  long status = 0;
-  curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
-  response_.status = static_cast<int>(status);
   // libcurl reports success if the connection ends within the head.
   if (!head_complete_ || response_.status < kMinSuccessStatus) {
     Fail(error_kind::kTargetFailed, "the response ended within its head");
@@ -321,6 +350,7 @@
   if (response_too_large_) return {error_kind::kAnswerTooLarge, ""};
   if (send_count_ == 0) return {error_kind::kTargetUnreachable, detail};
   if (code == CURLE_OPERATION_TIMEDOUT) return {error_kind::kDeadlineExceeded, ""};
+  if (!status_usable_) detail = "the status of the response is not usable";
   if (!length_usable_) detail = "the length of the response is not usable";
   if (echo_mismatch_) detail = "the response belongs to another request";
   if (code == CURLE_ABORTED_BY_CALLBACK) detail = "a kept connection ended without a response";
--- a/src/http/internal/curl_transfer.h
+++ b/src/http/internal/curl_transfer.h
@@ -78,6 +78,8 @@
   /// Records whether the response names this request. The connection is kept only if it does.
   void SetEchoMatched(bool matched);
   bool ReadHeader(absl::string_view line);
+  /// Reads the first line of an interim or final head. Returns false if its status is none.
+  bool ReadStatusLine(absl::string_view line);
   /// Accounts for the memory of the response. Returns false if it must not grow any more.
   bool UpdateHeldBytes();
   /// Returns why the response is not the expected one, or an empty string.
@@ -116,6 +118,9 @@
   /// Content-Length of the current head.
   absl::optional<uint64_t> length_;
   bool length_usable_ = true;
+  bool status_usable_ = true;
+  /// True at the start of each head. Lines after the final head are trailers.
+  bool expects_status_line_ = true;
   /// True if the empty line after the last head has been received.
   bool head_complete_ = false;
   /// True if the echoed header shows that the response belongs to another request.
--- a/src/http/internal/server_connection.cc
+++ b/src/http/internal/server_connection.cc
@@ -304,7 +304,7 @@
 
 void server_connection::AppendAnswer(row_entry entry) {
   http_response response = *std::move(entry.answer);
-  if (response.status < 200 || response.status > 599) {
+  if (!IsFinalStatus(response.status)) {
     response = ProblemResponse({error_kind::kInternal, "status out of range"}, "");
   }
   const bool ends_here = input_ended_ || (!server_->keep_alive && !IsReceiving());
--- a/src/http/tests/faulty_server_test.cc
+++ b/src/http/tests/faulty_server_test.cc
@@ -305,6 +305,73 @@
   }
 }
 
+// Guards against an answer whose status is none, which a caller then gets as an answer (issue 48),
+// and against a connection that is kept after it.
+TEST_CASE("an answer whose status is none is no answer") {
+  const auto answer = [](absl::string_view start) {
+    return absl::StrCat(start, "\r\n", kMarks, "Content-Length: 3\r\n\r\nabc");
+  };
+  for (const char* start : {"HTTP/1.1 000 OK",
+                            "HTTP/1.1 099 OK",
+                            "HTTP/1.1 600 OK",
+                            "HTTP/1.1 999 OK",
+                            "HTTP/1.1 101 OK",
+                            "HTTP/1.1 20 OK",
+                            "HTTP/1.1 2 OK",
+                            "HTTP/1.1 2000 OK",
+                            "HTTP/1.1 0200 OK",
+                            "HTTP/1.1 abc OK",
+                            "HTTP/1.1 2x0 OK",
+                            "HTTP/1.1 20x OK",
+                            "HTTP/1.1 200x OK",
+                            "HTTP/1.1 -20 OK",
+                            "HTTP/1.1 +200 OK",
+                            "HTTP/1.1  200 OK",
+                            "HTTP/1.1 OK",
+                            "HTTP/1.1 ",
+                            "HTTP/1.1",
+                            "HTTP/1.1 200\tOK",
+                            "HTTP/9.1 200 OK",
+                            "HTTP 200 OK",
+                            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK"}) {
+    for (const bool first : {false, true}) {
+      INFO(start << ", first " << first);
+      raw_server server([&](raw_socket& connection) {
+        bool sound = !first;
+        while (!connection.ReadUntil("\r\n\r\n").empty()) {
+          connection.Write(answer(sound ? "HTTP/1.1 200" : start));
+          sound = false;
+        }
+      });
+      const auto client = Builder().Threads(1).Build();
+      const answer_case tested = {"", "GET", "", false};
+      const auto send = [&] {
+        return SendAsync(*client, server.address(), RequestFor(tested, 1, true, false)).get();
+      };
+      // With a sound first answer on each connection, every other request has one.
+      for (int i = 0; i < 2; ++i) {
+        if (!first) CHECK(Describe(send()) == "200 with 3 bytes");
+        CHECK(MayHaveRun(send()));
+      }
+    }
+  }
+}
+
+TEST_CASE("any status from 200 to 599 is an answer") {
+  for (const int status : {200, 226, 299, 308, 404, 451, 500, 599}) {
+    raw_server server([&](raw_socket& connection) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Write(absl::StrCat("HTTP/1.1 102 A\r\n\r\nHTTP/1.1 199 B\r\n\r\nHTTP/1.1 ", status,
+                                    "\r\n", kMarks, "Content-Length: 3\r\n\r\nabc"));
+    });
+    const auto client = Builder().Build();
+    const answer_case tested = {"", "GET", "", false};
+    CHECK(
+        Describe(SendAsync(*client, server.address(), RequestFor(tested, 1, true, false)).get()) ==
+        absl::StrCat(status, " with 3 bytes"));
+  }
+}
+
 // Guards against an endless answer that holds a call beyond its deadline or is read without a
 // limit.
 TEST_CASE("bytes without end end their call and leave other calls unharmed") {
--- a/src/rpc/internal/convert_call.cc
+++ b/src/rpc/internal/convert_call.cc
@@ -131,6 +131,10 @@
   execute_result value;
   if (in.isAnswer()) {
     value.answer = Decode(in.getAnswer());
+    const int status = std::get<call_answer>(value.answer).status;
+    if (!IsFinalStatus(status)) {
+      value.answer = error{error_kind::kTargetFailed, "the status of the response is not usable"};
+    }
   } else if (in.isFailure()) {
     value.answer = Decode(in.getFailure());
   }
--- a/src/rpc/tests/convert_test.cc
+++ b/src/rpc/tests/convert_test.cc
@@ -139,6 +139,20 @@
   CHECK(decoded.level.priority == request_priority::kLow);
 }
 
+// Guards against an answer of another daemon whose status is none, which a caller then gets (issue
+// 48).
+TEST_CASE("an answer whose status is none is decoded as a failure that may have run") {
+  for (const int status : {-1, 0, 99, 101, 199, 600, 999, 2000}) {
+    capnp::MallocMessageBuilder message;
+    auto result = message.initRoot<wire::ExecuteResult>();
+    result.initAnswer().setStatus(status);
+    const execute_result decoded = Decode(result.asReader());
+    REQUIRE(decoded.answer.index() == 1);
+    CHECK(std::get<1>(decoded.answer).kind == error_kind::kTargetFailed);
+  }
+  CHECK(AnswerFor(error_kind::kTargetFailed).run == run_state::kMayHaveRun);
+}
+
 // Guards against a manifest that is confirmed although its content has not arrived.
 TEST_CASE("a compressed manifest arrives with its content, a damaged one without") {
   sync_request request;
