Close a gap between the end of probing and a waiting announcement

With several threads, an announcement that began to wait between the check and the end of probing was not probed until the next one, some 1.5 s later. Found by reading; no run showed it. The check now runs under the probe's lock.

--- a/src/daemon/internal/target_probe.cc
+++ b/src/daemon/internal/target_probe.cc
@@ -52,12 +52,12 @@
   request.method = "GET";
   // The response names no request, so it must not share a connection with calls.
   request.own_connection = true;
-  const bool needed = !deps_.executor.CurrentTarget();
-  const bool awaited = deps_.executor.AwaitsConfirmation();
   const uint64_t revocations = deps_.executor.Revocations();
   {
+    // An announcement that begins to wait after this check finds `probing_` cleared in `Resume`.
     absl::MutexLock lock(&mutex_);
-    probing_ = needed && (awaited || deps_.clock.Now() < probe_deadline_);
+    const bool due = deps_.executor.AwaitsConfirmation() || deps_.clock.Now() < probe_deadline_;
+    probing_ = due && !deps_.executor.CurrentTarget();
     if (!probing_) return;
     request.path = path_;
   }
