Measure how busy the event loop of a daemon is, second by second

The loop now records the times in which it waits for events. The metrics are teaseljunction_loop_load and teaseljunction_loop_busy_seconds_total; a daemon that was busy for half of a second logs the share, the longest run without a wait and the calls at its target. A loop that gets no processor counts as busy, which is what callers experience. Cost: two reads of the clock and one more epoll_wait for each wait; no decision uses the figures yet.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -26,6 +26,8 @@
 namespace teaseljunction {
 namespace {
 
+constexpr absl::Duration kBusyLogInterval = absl::Seconds(1);
+constexpr double kLoggedBusyShare = 0.5;
 constexpr absl::Duration kIdleCheckInterval = absl::Milliseconds(20);
 constexpr absl::Duration kReplacementCheckInterval = absl::Milliseconds(100);
 constexpr absl::Duration kOtherListenersDrainTimeout = absl::Milliseconds(200);
@@ -122,6 +124,8 @@
   // Drains all listeners except that for callers at the same time, because each may wait for
   // clients that do not read.
   void DrainOtherListeners();
+  // Logs once a second how busy the event loop was, if it was busy for most of the second.
+  void LogBusyPeriod();
   // Logs how far the planned shutdown has come and which calls it still waits for.
   void LogDrainStep(absl::string_view step);
 
@@ -224,6 +228,7 @@
   metrics_.AddSource([this] { return executor_->FormatPrometheus(); });
   metrics_.AddSource([this] { return call_graph_.FormatPrometheus(clock_.Now()); });
   metrics_.AddSource([this] { return request_memory_->FormatPrometheus(); });
+  metrics_.AddSource([this] { return loop_.FormatPrometheus(); });
   announcement_handler_ = std::make_unique<target_announcement_handler>(*executor_);
   entry_ = std::make_unique<entry_request_handler>(*entry_dependencies_, config_, contexts_,
                                                    *announcement_handler_,
@@ -336,6 +341,7 @@
 
 void daemon_process_impl::Start() {
   loop_.Run([this] { sync_->Start(); });
+  LogBusyPeriod();
   LOG(INFO) << "daemon: " << settings_.daemon_id << " serves callers at " << settings_.listen
             << ", daemons at " << settings_.rpc_listen << " and operators at "
             << settings_.operators_listen << ".";
@@ -368,6 +374,19 @@
             << " queued; pending outcomes: " << pending_work_.Count() << ".";
 }
 
+void daemon_process_impl::LogBusyPeriod() {
+  const busy_period_report period = loop_.TakeBusyPeriod();
+  if (period.busy_share >= kLoggedBusyShare) {
+    const target_executor_status executor = executor_->Status();
+    LOG(INFO) << "daemon: the event loop was busy for " << period.busy_share
+              << " of the last second, for " << absl::ToInt64Milliseconds(period.longest_run)
+              << " ms at a stretch, and waited " << period.waits
+              << " times; target calls: " << executor.running << " running, " << executor.queued
+              << " queued, " << executor.concurrency_limit << " at once.";
+  }
+  loop_.RunAt(clock_.Now() + kBusyLogInterval, [this] { LogBusyPeriod(); });
+}
+
 bool daemon_process_impl::WaitUntilIdle(absl::Time deadline) {
   while (clock_.Now() < deadline) {
     const target_executor_status executor = executor_->Status();
--- a/src/event_loop/event_loop.h
+++ b/src/event_loop/event_loop.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -13,9 +14,11 @@
 #include "absl/functional/any_invocable.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "common/busy_source.h"
 #include "common/clock_source.h"
 #include "common/log_limiter.h"
 #include "common/scheduler.h"
+#include "event_loop/busy_meter.h"
 #include "event_loop/loop_queue.h"
 
 namespace teaseljunction {
@@ -41,7 +44,7 @@
 ///
 /// Tasks must not block. An exception that leaves a task or a callback is logged, and the loop goes
 /// on with the next one.
-class event_loop : public scheduler {
+class event_loop : public scheduler, public busy_source {
  public:
   /// Starts the thread and returns once it is ready. `clock` must outlive the loop.
   explicit event_loop(const clock_source& clock);
@@ -88,6 +91,16 @@
   std::unique_ptr<descriptor_watch> WatchDescriptor(int fd, absl::AnyInvocable<void()> on_input,
                                                     absl::AnyInvocable<void()> on_output);
 
+  // See `busy_source`.
+  double BusyLoad(absl::Time now) const override;
+
+  /// Returns how busy the loop was since the previous call. Thread-safe.
+  busy_period_report TakeBusyPeriod();
+
+  /// Returns the load of the loop and the time in which it was busy, in the Prometheus text format.
+  /// Thread-safe.
+  std::string FormatPrometheus() const;
+
   /// Returns KJ's I/O context of the loop. Must be called and used on the loop's thread.
   kj::AsyncIoContext& IoContext() { return *io_; }
 
@@ -105,11 +118,12 @@
   const clock_source& clock_;
   log_limiter limiter_;
   loop_queue<absl::AnyInvocable<void()>> posted_tasks_;
-  absl::Mutex mutex_;
+  mutable absl::Mutex mutex_;
   std::map<timer_key, absl::AnyInvocable<void()>> timers_ ABSL_GUARDED_BY(mutex_);
   absl::flat_hash_map<uint64_t, absl::Time> timer_times_ ABSL_GUARDED_BY(mutex_);
   uint64_t next_id_ ABSL_GUARDED_BY(mutex_) = 0;
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+  busy_meter meter_ ABSL_GUARDED_BY(mutex_);
   // Only used on the loop's thread.
   kj::AsyncIoContext* io_ = nullptr;
   loop_state* state_ = nullptr;
--- a/src/event_loop/internal/event_loop.cc
+++ b/src/event_loop/internal/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 #include "absl/types/optional.h"
 #include "common/log.h"
@@ -23,8 +24,7 @@
 /// State of the loop that exists only while its thread runs.
 class event_loop::loop_state : private kj::TaskSet::ErrorHandler {
  public:
-  loop_state(event_loop& owner, kj::AsyncIoContext& io)
-      : stop_request(kj::newPromiseAndFulfiller<void>()), owner_(owner), io_(io), tasks(*this) {}
+  loop_state(event_loop& owner, kj::AsyncIoContext& io) : owner_(owner), io_(io), tasks(*this) {}
 
   // Arms the timer for `when`, unless it is already armed for an earlier time.
   void WakeAt(absl::Time when, absl::Time now) {
@@ -55,7 +55,7 @@
     }
   }
 
-  kj::PromiseFulfillerPair<void> stop_request;
+  bool stop_requested = false;
   std::vector<absl::AnyInvocable<void()>> turn_end_tasks;
   bool turn_end_scheduled = false;
 
@@ -123,7 +123,7 @@
   kj::Promise<void> output_event_ = nullptr;
 };
 
-event_loop::event_loop(const clock_source& clock) : clock_(clock) {
+event_loop::event_loop(const clock_source& clock) : clock_(clock), meter_(clock.Now()) {
   absl::Notification ready;
   thread_ = std::thread([this, &ready] {
     kj_log_callback log(limiter_);
@@ -146,7 +146,14 @@
               io_->unixEventPort, [](absl::AnyInvocable<void()> task) { task(); },
               [this](const kj::Exception& failure) { state_->LogFailure(failure); })
           .eagerlyEvaluate([this](kj::Exception&& failure) { state_->LogFailure(failure); });
-  state_->stop_request.promise.wait(io_->waitScope);
+  while (true) {
+    io_->waitScope.poll();
+    if (state_->stop_requested) break;
+    const absl::Time began = clock_.Now();
+    io_->unixEventPort.wait();
+    absl::MutexLock lock(&mutex_);
+    meter_.RecordWait(began, clock_.Now());
+  }
   posted_tasks_.Close();
   state_->turn_end_tasks.clear();
 }
@@ -157,7 +164,7 @@
     stopped_ = true;
   }
   if (!thread_.joinable()) return;
-  Post([this] { state_->stop_request.fulfiller->fulfill(); });
+  Post([this] { state_->stop_requested = true; });
   thread_.join();
   absl::MutexLock lock(&mutex_);
   timers_.clear();
@@ -252,6 +259,25 @@
   for (absl::AnyInvocable<void()>& task : due) state_->RunTask(task);
 }
 
+double event_loop::BusyLoad(absl::Time now) const {
+  absl::MutexLock lock(&mutex_);
+  return meter_.LoadAt(now);
+}
+
+busy_period_report event_loop::TakeBusyPeriod() {
+  absl::MutexLock lock(&mutex_);
+  return meter_.TakePeriod(clock_.Now());
+}
+
+std::string event_loop::FormatPrometheus() const {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = clock_.Now();
+  return absl::StrCat(
+      "# TYPE teaseljunction_loop_load gauge\nteaseljunction_loop_load ", meter_.LoadAt(now),
+      "\n# TYPE teaseljunction_loop_busy_seconds_total counter\n",
+      "teaseljunction_loop_busy_seconds_total ", absl::ToDoubleSeconds(meter_.BusyTime(now)), "\n");
+}
+
 std::unique_ptr<input_watch> event_loop::WatchInput(int fd, absl::AnyInvocable<void()> on_input) {
   return std::make_unique<observed_descriptor>(
       *this, fd, kj::UnixEventPort::FdObserver::OBSERVE_READ, std::move(on_input), nullptr);
