Send the messages of one turn of the loop together

Each message between daemons was a system call and, when the peer waited, a wake-up of it: the call, the answer, and the message with which the caller releases the answer. The stream now collects the messages of a turn, and the release goes out with the next message or after 100 ms. A message that cancels a call does not wait. A drain of the server counts the bytes that have not been sent.

The loop's busy time is now taken from the ends of its turns in place of a second poll of the descriptors, which had cost one or two more system calls a call.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -341,7 +341,7 @@
 
 void daemon_process_impl::Start() {
   loop_.Run([this] { sync_->Start(); });
-  LogBusyPeriod();
+  loop_.RunAt(clock_.Now() + kBusyLogInterval, [this] { LogBusyPeriod(); });
   LOG(INFO) << "daemon: " << settings_.daemon_id << " serves callers at " << settings_.listen
             << ", daemons at " << settings_.rpc_listen << " and operators at "
             << settings_.operators_listen << ".";
--- a/src/event_loop/event_loop.h
+++ b/src/event_loop/event_loop.h
@@ -91,6 +91,11 @@
   std::unique_ptr<descriptor_watch> WatchDescriptor(int fd, absl::AnyInvocable<void()> on_input,
                                                     absl::AnyInvocable<void()> on_output);
 
+  /// Records that an event is being handled, to measure how busy the loop is. Only needed for
+  /// events that reach the loop through KJ instead of a method of this class. Must be called on the
+  /// loop's thread.
+  void RecordActivity();
+
   // See `busy_source`.
   double BusyLoad(absl::Time now) const override;
 
@@ -110,6 +115,8 @@
   class observed_descriptor;
 
   void RunLoop();
+  // Notes when the current turn ends.
+  void AwaitTurnEnd();
   void RunTurnEndTasks();
   void RunDueTimers();
   // Schedules a wake-up of the loop for the earliest timer.
--- a/src/event_loop/internal/event_loop.cc
+++ b/src/event_loop/internal/event_loop.cc
@@ -24,7 +24,8 @@
 /// State of the loop that exists only while its thread runs.
 class event_loop::loop_state : private kj::TaskSet::ErrorHandler {
  public:
-  loop_state(event_loop& owner, kj::AsyncIoContext& io) : owner_(owner), io_(io), tasks(*this) {}
+  loop_state(event_loop& owner, kj::AsyncIoContext& io)
+      : stop_request(kj::newPromiseAndFulfiller<void>()), owner_(owner), io_(io), tasks(*this) {}
 
   // Arms the timer for `when`, unless it is already armed for an earlier time.
   void WakeAt(absl::Time when, absl::Time now) {
@@ -43,6 +44,7 @@
 
   // Runs `task` and logs an exception that leaves it, so that it does not end other processing.
   void RunTask(absl::AnyInvocable<void()>& task) {
+    owner_.RecordActivity();
     KJ_IF_MAYBE (failure, kj::runCatchingExceptions([&task] { task(); })) {
       LogFailure(*failure);
     }
@@ -55,9 +57,13 @@
     }
   }
 
-  bool stop_requested = false;
+  kj::PromiseFulfillerPair<void> stop_request;
   std::vector<absl::AnyInvocable<void()>> turn_end_tasks;
   bool turn_end_scheduled = false;
+  // True from the first event that is handled after a wait to the end of the turn.
+  bool active = false;
+  absl::Time idle_since;
+  kj::Promise<void> turn_end = nullptr;
 
  private:
   void taskFailed(kj::Exception&& failure) override {  // NOLINT(readability-identifier-naming)
@@ -131,6 +137,7 @@
     loop_state state(*this, io);
     io_ = &io;
     state_ = &state;
+    state.idle_since = clock_.Now();
     ready.Notify();
     RunLoop();
   });
@@ -143,17 +150,11 @@
   kj::Promise<void> tasks =
       posted_tasks_
           .Run(
-              io_->unixEventPort, [](absl::AnyInvocable<void()> task) { task(); },
+              io_->unixEventPort,
+              [this](absl::AnyInvocable<void()> task) { state_->RunTask(task); },
               [this](const kj::Exception& failure) { state_->LogFailure(failure); })
           .eagerlyEvaluate([this](kj::Exception&& failure) { state_->LogFailure(failure); });
-  while (true) {
-    io_->waitScope.poll();
-    if (state_->stop_requested) break;
-    const absl::Time began = clock_.Now();
-    io_->unixEventPort.wait();
-    absl::MutexLock lock(&mutex_);
-    meter_.RecordWait(began, clock_.Now());
-  }
+  state_->stop_request.promise.wait(io_->waitScope);
   posted_tasks_.Close();
   state_->turn_end_tasks.clear();
 }
@@ -164,7 +165,7 @@
     stopped_ = true;
   }
   if (!thread_.joinable()) return;
-  Post([this] { state_->stop_requested = true; });
+  Post([this] { state_->stop_request.fulfiller->fulfill(); });
   thread_.join();
   absl::MutexLock lock(&mutex_);
   timers_.clear();
@@ -259,6 +260,27 @@
   for (absl::AnyInvocable<void()>& task : due) state_->RunTask(task);
 }
 
+void event_loop::RecordActivity() {
+  if (std::exchange(state_->active, true)) return;
+  {
+    absl::MutexLock lock(&mutex_);
+    meter_.RecordWait(state_->idle_since, clock_.Now());
+  }
+  AwaitTurnEnd();
+}
+
+void event_loop::AwaitTurnEnd() {
+  state_->turn_end = kj::evalLast([this] {
+                       // Tasks of the end of the turn belong to it.
+                       if (state_->turn_end_scheduled) {
+                         state_->tasks.add(kj::evalLast([this] { AwaitTurnEnd(); }));
+                         return;
+                       }
+                       state_->active = false;
+                       state_->idle_since = clock_.Now();
+                     }).eagerlyEvaluate(nullptr);
+}
+
 double event_loop::BusyLoad(absl::Time now) const {
   absl::MutexLock lock(&mutex_);
   return meter_.LoadAt(now);
--- a/src/rpc/internal/client_connections.cc
+++ b/src/rpc/internal/client_connections.cc
@@ -30,9 +30,9 @@
 }  // namespace
 
 peer_connection::peer_connection(kj::Own<kj::AsyncIoStream> connected, capnp::ReaderOptions limits,
-                                 message_memory& receiving, const std::string& address,
-                                 log_limiter& limiter)
-    : stream(kj::heap<buffered_stream>(kj::mv(connected), receiving)),
+                                 message_memory& receiving, kj::Timer& timer, event_loop* loop,
+                                 const std::string& address, log_limiter& limiter)
+    : stream(kj::heap<buffered_stream>(kj::mv(connected), receiving, timer, loop)),
       messages(*stream, address, limiter),
       network(messages, capnp::rpc::twoparty::Side::CLIENT, limits),
       rpc(capnp::makeRpcClient(network)),
@@ -186,9 +186,9 @@
 }
 
 void client_connections::OnConnected(peer_state& peer, kj::Own<kj::AsyncIoStream> stream) {
-  peer.connection =
-      kj::heap<peer_connection>(kj::mv(stream), MessageLimits(settings_.max_message_bytes),
-                                receiving_, peer.address, limiter_);
+  peer.connection = kj::heap<peer_connection>(
+      kj::mv(stream), MessageLimits(settings_.max_message_bytes), receiving_,
+      io_.provider->getTimer(), settings_.loop, peer.address, limiter_);
   peer.state = peer_state::connection_state::kConnected;
   peer.backoff = absl::ZeroDuration();
   const peer_connection* new_connection = peer.connection.get();
--- a/src/rpc/internal/client_connections.h
+++ b/src/rpc/internal/client_connections.h
@@ -18,9 +18,10 @@
 /// An open connection to a peer, with its RPC system and bootstrap capability.
 struct peer_connection {
   peer_connection(kj::Own<kj::AsyncIoStream> connected, capnp::ReaderOptions limits,
-                  message_memory& receiving, const std::string& address, log_limiter& limiter);
+                  message_memory& receiving, kj::Timer& timer, event_loop* loop,
+                  const std::string& address, log_limiter& limiter);
 
-  kj::Own<kj::AsyncIoStream> stream;
+  kj::Own<buffered_stream> stream;
   logging_message_stream messages;
   capnp::TwoPartyVatNetwork network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
--- a/src/rpc/internal/kj_support.cc
+++ b/src/rpc/internal/kj_support.cc
@@ -1,6 +1,7 @@
 #include "rpc/internal/kj_support.h"
 
 #include <arpa/inet.h>
+#include <capnp/rpc.capnp.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -17,6 +18,14 @@
 /// Shorter than the 3 s after which an unresponsive daemon is removed from the directory.
 constexpr unsigned kUnacknowledgedTimeoutMs = 2500;
 
+// Returns true for the message that releases an answer which has arrived. The one that cancels a
+// call has the same type, and differs in that it releases the capabilities of a future answer.
+bool IsRelease(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) {
+  capnp::SegmentArrayMessageReader reader(segments);
+  const auto message = reader.getRoot<capnp::rpc::Message>();
+  return message.isFinish() && !message.getFinish().getReleaseResultCaps();
+}
+
 }  // namespace
 
 void LogRpcWarning(log_limiter& limiter, absl::string_view message) {
@@ -39,6 +48,12 @@
       });
 }
 
+kj::Promise<void> logging_message_stream::writeMessage(
+    kj::ArrayPtr<const int> fds, kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) {
+  if (IsRelease(segments)) stream_.DelayNextWrite();
+  return messages_.writeMessage(fds, segments);
+}
+
 capnp::ReaderOptions MessageLimits(size_t max_bytes) {
   capnp::ReaderOptions options;
   options.traversalLimitInWords = max_bytes / sizeof(capnp::word);
--- a/src/rpc/internal/kj_support.h
+++ b/src/rpc/internal/kj_support.h
@@ -11,6 +11,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "common/log_limiter.h"
+#include "rpc/internal/buffered_stream.h"
 
 namespace teaseljunction {
 
@@ -18,20 +19,19 @@
 void LogRpcWarning(log_limiter& limiter, absl::string_view message);
 
 /// Message stream over a socket that logs why reading failed, which the RPC system does not report.
-/// Disconnects are not logged.
+/// Disconnects are not logged. The message with which the RPC system releases the answer to a call
+/// is sent with the next one.
 class logging_message_stream final : public capnp::MessageStream {
  public:
-  logging_message_stream(kj::AsyncIoStream& stream, std::string peer, log_limiter& limiter)
-      : messages_(stream), peer_(std::move(peer)), limiter_(limiter) {}
+  logging_message_stream(buffered_stream& stream, std::string peer, log_limiter& limiter)
+      : stream_(stream), messages_(stream), peer_(std::move(peer)), limiter_(limiter) {}
 
   kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
       kj::ArrayPtr<kj::AutoCloseFd> fds, capnp::ReaderOptions options,
       kj::ArrayPtr<capnp::word> scratch) override;
   kj::Promise<void> writeMessage(
       kj::ArrayPtr<const int> fds,
-      kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override {
-    return messages_.writeMessage(fds, segments);
-  }
+      kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override;
   kj::Promise<void> writeMessages(
       kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>> messages) override {
     return messages_.writeMessages(messages);
@@ -40,6 +40,7 @@
   kj::Promise<void> end() override { return messages_.end(); }
 
  private:
+  buffered_stream& stream_;
   capnp::AsyncIoMessageStream messages_;
   const std::string peer_;
   log_limiter& limiter_;
--- a/src/rpc/internal/server_connections.cc
+++ b/src/rpc/internal/server_connections.cc
@@ -10,23 +10,27 @@
 
 constexpr kj::Duration kAcceptRetryDelay = 20 * kj::MILLISECONDS;
 
+}  // namespace
+
 /// An accepted connection with its RPC system.
-struct server_connection {
+struct server_connections::server_connection {
   server_connection(kj::Own<kj::AsyncIoStream> accepted, capnp::Capability::Client node,
-                    capnp::ReaderOptions limits, message_memory& receiving, log_limiter& limiter)
-      : stream(kj::heap<buffered_stream>(kj::mv(accepted), receiving)),
+                    capnp::ReaderOptions limits, message_memory& receiving, kj::Timer& timer,
+                    event_loop* loop, log_limiter& limiter)
+      : stream(kj::heap<buffered_stream>(kj::mv(accepted), receiving, timer, loop)),
         messages(*stream, PeerAddress(*stream), limiter),
         network(messages, capnp::rpc::twoparty::Side::SERVER, limits),
         rpc(capnp::makeRpcServer(network, kj::mv(node))) {}
 
-  kj::Own<kj::AsyncIoStream> stream;
+  /// Returns the size of the messages that have not been sent, in bytes.
+  size_t QueuedBytes() { return network.getCurrentQueueSize() + stream->UnsentBytes(); }
+
+  kj::Own<buffered_stream> stream;
   logging_message_stream messages;
   capnp::TwoPartyVatNetwork network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
 };
 
-}  // namespace
-
 server_connections::server_connections(kj::AsyncIoContext& io, const rpc_server_settings& settings,
                                        node_service& service, int listen_fd, incoming_calls& calls,
                                        log_limiter& limiter)
@@ -62,20 +66,21 @@
 }
 
 void server_connections::AddConnection(kj::Own<kj::AsyncIoStream> stream) {
-  if (open_networks_.size() >= settings_.max_connections) {
+  if (open_connections_.size() >= settings_.max_connections) {
     LogRpcWarning(limiter_, "connection refused: the limit of open connections is reached");
     return;
   }
   KJ_IF_MAYBE (fd, stream->getFd()) {
     SetSocketOptions(*fd);
   }
-  auto connection = kj::heap<server_connection>(
-      kj::mv(stream), node_, MessageLimits(settings_.max_message_bytes), receiving_, limiter_);
-  capnp::TwoPartyVatNetwork* network = &connection->network;
-  open_networks_.insert(network);
-  kj::Promise<void> closed = network->onDisconnect();
+  auto connection =
+      kj::heap<server_connection>(kj::mv(stream), node_, MessageLimits(settings_.max_message_bytes),
+                                  receiving_, io_.provider->getTimer(), settings_.loop, limiter_);
+  server_connection* open = connection.get();
+  open_connections_.insert(open);
+  kj::Promise<void> closed = open->network.onDisconnect();
   connections_->add(closed.attach(kj::mv(connection),
-                                  kj::defer([this, network] { open_networks_.erase(network); })));
+                                  kj::defer([this, open] { open_connections_.erase(open); })));
 }
 
 void server_connections::StopAccepting() {
@@ -85,7 +90,7 @@
 
 size_t server_connections::QueuedBytes() const {
   size_t bytes = 0;
-  for (capnp::TwoPartyVatNetwork* network : open_networks_) bytes += network->getCurrentQueueSize();
+  for (server_connection* open : open_connections_) bytes += open->QueuedBytes();
   return bytes;
 }
 
--- a/src/rpc/internal/server_connections.h
+++ b/src/rpc/internal/server_connections.h
@@ -35,6 +35,8 @@
   void taskFailed(kj::Exception&& failure) override;  // NOLINT(readability-identifier-naming)
 
  private:
+  struct server_connection;
+
   kj::Promise<void> Accept();
   void AddConnection(kj::Own<kj::AsyncIoStream> stream);
 
@@ -44,7 +46,7 @@
   message_memory receiving_;
   wire::Node::Client node_;
   kj::Own<kj::ConnectionReceiver> listener_;
-  absl::flat_hash_set<capnp::TwoPartyVatNetwork*> open_networks_;
+  absl::flat_hash_set<server_connection*> open_connections_;
   kj::Own<kj::TaskSet> connections_;
   kj::Promise<void> accepting_ = nullptr;
 };
