Report the load of the event loop where it exceeds that of the target

Callers saw requests admitted that could not complete: beside a service with few targets the event loop was busy all the time while its target ran half of its slots, and the load that entries plan with was that of the slots. Calls that wait in sockets and in the loop were in no figure.

A daemon now reports the larger one of the load of its target and of the loop that passes calls on: its recent busy share, and more while it has not waited for long.

The event no longer waits; the test of the loop never ended before.

The new test of target_executor failed without the change: 0 reported in place of 0.2 and 1.4.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -196,7 +196,7 @@
   leader_client_ = std::make_unique<leader_client>(clock_, loop_, *peers_, locator_);
   executor_ = std::make_unique<target_executor>(
       target_executor_dependencies{clock_, loop_, contexts_, *client_, quarantine_,
-                                   resolver_.headers, call_graph_},
+                                   resolver_.headers, call_graph_, &loop_},
       settings_.daemon_id,
       admission_controller_builder().SetFixedLimit(settings_.fixed_concurrency_limit).Build(),
       settings_.target_lease, settings_.target_drain_time);
--- a/src/event_loop/event_loop.h
+++ b/src/event_loop/event_loop.h
@@ -115,8 +115,6 @@
   class observed_descriptor;
 
   void RunLoop();
-  // Notes when the current turn ends.
-  void AwaitTurnEnd();
   void RunTurnEndTasks();
   void RunDueTimers();
   // Schedules a wake-up of the loop for the earliest timer.
--- a/src/event_loop/internal/event_loop.cc
+++ b/src/event_loop/internal/event_loop.cc
@@ -266,16 +266,8 @@
     absl::MutexLock lock(&mutex_);
     meter_.RecordWait(state_->idle_since, clock_.Now());
   }
-  AwaitTurnEnd();
-}
-
-void event_loop::AwaitTurnEnd() {
+  // KJ runs the latest of these events first, so that tasks of the end of the turn precede it.
   state_->turn_end = kj::evalLast([this] {
-                       // Tasks of the end of the turn belong to it.
-                       if (state_->turn_end_scheduled) {
-                         state_->tasks.add(kj::evalLast([this] { AwaitTurnEnd(); }));
-                         return;
-                       }
                        state_->active = false;
                        state_->idle_since = clock_.Now();
                      }).eagerlyEvaluate(nullptr);
--- a/src/event_loop/tests/event_loop_test.cc
+++ b/src/event_loop/tests/event_loop_test.cc
@@ -63,6 +63,27 @@
   CHECK(order[1] == 3);
 }
 
+// Guards against a loop that does not come to its other events.
+TEST_CASE("turn-end tasks run although activity is recorded after they were added") {
+  const system_clock_source clock;
+  event_loop loop(clock);
+  absl::Notification done;
+  kj::Promise<void> added = nullptr;
+  loop.RunAndWait([&] {
+    // Reaches the loop through KJ alone.
+    added = loop.IoContext()
+                .provider->getTimer()
+                .afterDelay(2 * kj::MILLISECONDS)
+                .then([&] {
+                  loop.RunAtTurnEnd([&] { done.Notify(); });
+                  loop.RecordActivity();
+                })
+                .eagerlyEvaluate(nullptr);
+  });
+  CHECK(done.WaitForNotificationWithTimeout(absl::Seconds(10)));
+  loop.RunAndWait([&] { added = nullptr; });
+}
+
 TEST_CASE("input on a nested epoll descriptor is reported each time it arrives") {
   const system_clock_source clock;
   event_loop loop(clock);
--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -551,11 +551,7 @@
   bool includes_cost = false;
   {
     absl::MutexLock lock(&mutex_);
-    const double limit = std::max<double>(admission_.ConcurrencyLimit(), 1);
-    delivered.load =
-        static_cast<double>(admission_.InFlightCalls() + admission_.QueuedCalls()) / limit;
-    if (mode_ == overload_control_mode::kPlanned)
-      delivered.load *= pace_.LoadFactor(deps_.clock.Now());
+    delivered.load = LoadAt(deps_.clock.Now());
     includes_cost = ++response_count_ % kResponsesPerCostReport == 0;
   }
   if (!includes_cost) return;
@@ -563,6 +559,13 @@
   delivered.costs = deps_.graph.CostOf(request.route, own, deps_.clock.Now());
 }
 
+double target_executor::LoadAt(absl::Time now) const {
+  const double limit = std::max<double>(admission_.ConcurrencyLimit(), 1);
+  double load = static_cast<double>(admission_.InFlightCalls() + admission_.QueuedCalls()) / limit;
+  if (mode_ == overload_control_mode::kPlanned) load *= pace_.LoadFactor(now);
+  return deps_.thread == nullptr ? load : std::max(load, deps_.thread->BusyLoad(now));
+}
+
 void target_executor::Deliver(task& finished, outcome<call_answer> answer,
                               absl::Duration service_time) {
   execute_result delivered;
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -10,6 +10,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 #include "admission/admission_controller.h"
+#include "common/busy_source.h"
 #include "common/clock_source.h"
 #include "common/scheduler.h"
 #include "gateway/call_context.h"
@@ -34,6 +35,8 @@
   quarantine_registry& quarantine;
   const call_header_names& headers;
   call_graph& graph;
+  /// Load of the thread that handles the calls; null if it is not measured.
+  const busy_source* thread = nullptr;
 };
 
 /// State of the executor as reported to operators.
@@ -177,9 +180,11 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplySlots(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   overload_level CurrentLevel() ABSL_LOCKS_EXCLUDED(mutex_);
-  // Adds the load of the target to the result and, for a fraction of the responses, the cost of the
-  // route.
+  // Adds the load to the result and, for a fraction of the responses, the cost of the route.
   void AddLoadReport(const call& request, execute_result& delivered) ABSL_LOCKS_EXCLUDED(mutex_);
+  // Returns the load of what calls need here and has least room: the target or the thread that
+  // passes calls on to it.
+  double LoadAt(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Records the pace that the target reported with a response.
   void RecordPace(const outcome<http_response>& response, absl::Duration service_time,
                   absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/src/gateway/tests/target_executor_test.cc
+++ b/src/gateway/tests/target_executor_test.cc
@@ -87,6 +87,33 @@
 
 }  // namespace
 
+// Guards against entries that admit more because the target has room, while its daemon has none.
+TEST_CASE("a daemon without processor time reports its own load in place of that of its target") {
+  struct fixed_load : busy_source {
+    double load = 0;
+    double BusyLoad(absl::Time) const override { return load; }
+  } thread;
+  executor_fixture fixture;
+  target_executor busy({fixture.time, fixture.time, fixture.contexts, fixture.client,
+                        fixture.quarantine, fixture.headers, fixture.graph, &thread},
+                       "d2", admission_controller_builder().Build());
+  busy.HandleAnnouncement({"stock", 1, 8, false, 0, "127.0.0.1:1"});
+  double reported = 0;
+  const auto run = [&] {
+    call request;
+    request.service = "stock";
+    request.time_left = absl::Seconds(5);
+    busy.Execute(request, [&](execute_result executed) { reported = executed.load; });
+    fixture.client.End(fixture.client.last_id, http_response{200, {}, ""});
+  };
+  thread.load = 0.2;
+  run();
+  CHECK(reported == Approx(0.2));
+  thread.load = 1.4;
+  run();
+  CHECK(reported == Approx(1.4));
+}
+
 // Guards against "not run" for a request that its target ran, after the target has sent an earlier
 // refusal once more.
 TEST_CASE("a stale refusal of a target is not reported as not run") {
