Let the client to the target open as many connections as admission starts calls

A service with 287 or 429 slots got 256 calls at most: admission started more, counted them as running, and they waited in libcurl for a connection, in no figure. So such a target was never more loaded than its daemon's client allowed, its load was reported too low, and calls ran out of time in a queue that nobody saw.

The same class as the event loop: a resource that binds and is in no reported load. The test got 0 of 430 answers before.

--- a/src/http/curl_client.h
+++ b/src/http/curl_client.h
@@ -21,8 +21,10 @@
   event_loop* loop = nullptr;
   /// Maximum size of a response body.
   size_t max_response_bytes = size_t{1} << 20;
-  /// Maximum connections of one thread, or of the loop, to one address. Further requests wait.
-  unsigned max_connections_per_host = 256;
+  /// Maximum connections of one thread, or of the loop, to one address. Further requests wait. Must
+  /// not be below the number of calls that admission starts, which counts those that wait here as
+  /// running.
+  unsigned max_connections_per_host = 2048;
   /// Limit of the memory for all responses that are being received. Above it, the requests with the
   /// largest responses fail.
   size_t max_buffered_bytes = size_t{32} << 20;
--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
 #include "event_loop/event_loop.h"
 #include "http/tests/raw_socket.h"
@@ -88,6 +89,30 @@
 
 }  // namespace
 
+// Guards against calls that wait in the client for a connection while they count as running.
+TEST_CASE("a target with hundreds of slots gets all calls that were started") {
+  constexpr int kCalls = 430;
+  const auto client = Builder().Build();
+  absl::Mutex mutex;
+  int arrived = 0;
+  raw_server server([&](raw_socket& connection) {
+    connection.ReadUntil("body");
+    const auto all_arrived = [&] { return arrived == kCalls; };
+    absl::MutexLock lock(&mutex);
+    ++arrived;
+    if (mutex.AwaitWithTimeout(absl::Condition(&all_arrived), kLongTimeout)) {
+      connection.Write(Response("Content-Length: 0\r\n", ""));
+    }
+  });
+  std::vector<std::future<http_outcome>> calls;
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(SendAsync(*client, server.address(), false, kLongTimeout));
+  }
+  int answered = 0;
+  for (auto& call : calls) answered += call.get().index() == 0 ? 1 : 0;
+  CHECK(answered == kCalls);
+}
+
 // Guards against a request that reaches its server although its sender no longer wants it sent, for
 // example since it waited long for a connection.
 TEST_CASE("a request that is refused before it is sent does not reach the server") {
