--- a/src/http/tests/curl_client_test.cc
+++ b/src/http/tests/curl_client_test.cc
@@ -91,13 +91,13 @@
 
 // Guards against calls that wait in the client for a connection while they count as running.
 TEST_CASE("a target with hundreds of slots gets all calls that were started") {
-  constexpr int kCalls = 430;
+  constexpr int call_count = 430;
   const auto client = Builder().Build();
   absl::Mutex mutex;
   int arrived = 0;
   raw_server server([&](raw_socket& connection) {
     connection.ReadUntil("body");
-    const auto all_arrived = [&] { return arrived == kCalls; };
+    const auto all_arrived = [&] { return arrived == call_count; };
     absl::MutexLock lock(&mutex);
     ++arrived;
     if (mutex.AwaitWithTimeout(absl::Condition(&all_arrived), kLongTimeout)) {
@@ -105,12 +105,12 @@
     }
   });
   std::vector<std::future<http_outcome>> calls;
-  for (int i = 0; i < kCalls; ++i) {
+  for (int i = 0; i < call_count; ++i) {
     calls.push_back(SendAsync(*client, server.address(), false, kLongTimeout));
   }
   int answered = 0;
   for (auto& call : calls) answered += call.get().index() == 0 ? 1 : 0;
-  CHECK(answered == kCalls);
+  CHECK(answered == call_count);
 }
 
 // Guards against a request that reaches its server although its sender no longer wants it sent, for
