--- a/src/overload/tests/capacity_plan_test.cc
+++ b/src/overload/tests/capacity_plan_test.cc
@@ -161,6 +161,32 @@
   CHECK(settled <= absl::Seconds(2));
 }
 
+// Guards against requests that time out in front of targets with room, because nobody is told that
+// the daemon beside them has no processor time left.
+TEST_CASE("entries do not admit what the thread in front of a service cannot pass on") {
+  const bool reported = GENERATE(true, false);
+  simulation_settings settings = Settings(true);
+  // The slots suffice for ten times the calls that the thread passes on.
+  settings.slots *= 10;
+  settings.thread_time = absl::Seconds(1 / kCapacity);
+  settings.reports_thread = reported;
+  entry_simulation simulation(settings, Demand(2.2));
+  simulation.Run(kWarmUp);
+  simulation.ResetCounts();
+  simulation.Run(absl::Seconds(20));
+  INFO((reported ? "reported " : "not reported ") << Describe(simulation));
+  CHECK((simulation.kinds[kHigh].ServedShare() > 0.97) == reported);
+  if (!reported) return;
+  CHECK(simulation.kinds[kCritical].ServedShare() > 0.97);
+  int admitted = 0;
+  int served = 0;
+  for (const simulated_kind& kind : simulation.kinds) {
+    admitted += kind.admitted;
+    served += kind.served;
+  }
+  CHECK(served > 0.97 * admitted);
+}
+
 // Guards against an estimate of the capacity that lags, or that falls further with each step in
 // which the queue of before is still there.
 TEST_CASE("when the capacity halves the share follows and the important requests are served") {
--- a/src/overload/tests/entry_simulation.h
+++ b/src/overload/tests/entry_simulation.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "event_loop/busy_meter.h"
 #include "overload/call_rank.h"
 #include "overload/capacity_plan.h"
 #include "overload/entry_admission.h"
@@ -34,6 +35,10 @@
   int slots = 40;
   /// Time from the refusal of a request to its return; zero if it does not return.
   absl::Duration return_after;
+  /// Time that the thread in front of the service takes to pass a call on, one after the other.
+  absl::Duration thread_time;
+  /// True if the load of this thread is reported where it exceeds that of the service.
+  bool reports_thread = true;
 };
 
 /// Several entries and a service with slots and one queue by rank, in virtual time. The service
@@ -153,6 +158,13 @@
   }
 
   void Call(const request& parent) {
+    if (settings_.thread_time == absl::ZeroDuration()) return Queue(parent);
+    if (now_ > thread_free_at_) thread_.RecordWait(thread_free_at_, now_);
+    thread_free_at_ = std::max(thread_free_at_, now_) + settings_.thread_time;
+    At(thread_free_at_ - now_, [this, parent] { Queue(parent); });
+  }
+
+  void Queue(const request& parent) {
     const simulated_kind& kind = kinds[parent.kind];
     const call_rank rank{kind.priority, parent.cohort, 0};
     queue_.push({parent, (settings_.planned ? rank : RankOfChildCall(rank)).priority, ++order_});
@@ -186,7 +198,9 @@
     entry.plan.RecordEnded(entry.costs[ended.kind], served, EntryTime());
     if (!reports || ++entry.responses % kResponsesPerReport != 0) return;
     // The targets of the service are not equally loaded.
-    const double load = report(Load() * std::uniform_real_distribution<>(0.8, 1.2)(random_));
+    const bool has_thread = settings_.reports_thread && thread_free_at_ > now_;
+    const double busiest = has_thread ? std::max(Load(), thread_.LoadAt(now_)) : Load();
+    const double load = report(busiest * std::uniform_real_distribution<>(0.8, 1.2)(random_));
     const route_cost cost = {{"front", 1, 0.2, {}},
                              {"scarce", 1.0 * kinds[ended.kind].calls, load, report_age}};
     entry.costs[ended.kind] = cost;
@@ -202,6 +216,8 @@
   std::priority_queue<waiting_call> queue_;
   uint64_t order_ = 0;
   int running_ = 0;
+  absl::Time thread_free_at_ = now_;
+  busy_meter thread_{now_};
 };
 
 }  // namespace teaseljunction
