Count waits that find events at once as part of a run of the event loop

A saturated loop looks for events every 16 events and finds some each time. The meter took each of these looks for a wait, so its load stayed at 0.94 to 0.99 while events queued for seconds, and entries cut less and later than above 1. Waits below 0.1 ms no longer end a run.

--- a/src/event_loop/busy_meter.h
+++ b/src/event_loop/busy_meter.h
@@ -10,15 +10,16 @@
 struct busy_period_report {
   /// Share of the period in which the loop did not wait for events, from 0 to 1.
   double busy_share = 0;
-  /// Longest time without a wait, which events that arrived in it had to queue for at most.
+  /// Longest run, for which events that arrived in it had to queue at most.
   absl::Duration longest_run;
-  /// Number of waits.
+  /// Number of waits that ended a run.
   uint64_t waits = 0;
 };
 
-/// Measures how busy an event loop is, from the times in which it waits for events. A loop that
-/// does not get the processor counts as busy. Not thread-safe. Does not read the clock; times that
-/// step back count as no time.
+/// Measures how busy an event loop is, from the times in which it waits for events. A run is the
+/// time from one wait to the next; waits below 0.1 ms do not end it. A loop that does not get the
+/// processor counts as busy. Not thread-safe. Does not read the clock; times that step back count
+/// as no time.
 class busy_meter {
  public:
   explicit busy_meter(absl::Time now) : updated_at_(now), running_since_(now), period_start_(now) {}
@@ -26,8 +27,8 @@
   /// Records that the loop waited for events from `began` to `ended`.
   void RecordWait(absl::Time began, absl::Time ended);
 
-  /// Returns the recent share of time in which the loop was busy, from 0 to 1, plus the time since
-  /// its last wait as a part of 500 ms, at most 1 in addition.
+  /// Returns the recent share of time in which the loop was busy, from 0 to 1, plus the length of
+  /// the current run as a part of 500 ms, at most 1 in addition.
   double LoadAt(absl::Time now) const;
 
   /// Returns the total time in which the loop was busy.
--- a/src/event_loop/internal/busy_meter.cc
+++ b/src/event_loop/internal/busy_meter.cc
@@ -8,6 +8,8 @@
 
 // Time constant of the average share.
 constexpr absl::Duration kAveragingTime = absl::Milliseconds(100);
+// A shorter wait ends with events that had arrived before it, so that it does not end a run.
+constexpr absl::Duration kMinWait = absl::Microseconds(100);
 // Time without a wait that counts as a queue as large as the work of the loop.
 constexpr absl::Duration kFullQueueTime = absl::Milliseconds(500);
 constexpr double kMaxQueueLoad = 1;
@@ -23,13 +25,16 @@
 }
 
 void busy_meter::RecordWait(absl::Time began, absl::Time ended) {
-  const absl::Duration run = NonNegative(began - running_since_);
-  share_ = ShareAfter(NonNegative(began - updated_at_), 1);
-  share_ = ShareAfter(NonNegative(ended - began), 0);
-  busy_time_ += run;
-  longest_run_ = std::max(longest_run_, run);
-  ++waits_;
+  const absl::Duration busy = NonNegative(began - updated_at_);
+  const absl::Duration wait = NonNegative(ended - began);
+  share_ = ShareAfter(busy, 1);
+  share_ = ShareAfter(wait, 0);
+  busy_time_ += busy;
   updated_at_ = ended;
+  longest_run_ = std::max(longest_run_, NonNegative(began - running_since_));
+  // A clock that was set back starts the run anew.
+  if (wait < kMinWait && running_since_ <= ended) return;
+  ++waits_;
   running_since_ = ended;
 }
 
@@ -40,7 +45,7 @@
 }
 
 absl::Duration busy_meter::BusyTime(absl::Time now) const {
-  return busy_time_ + NonNegative(now - running_since_);
+  return busy_time_ + NonNegative(now - updated_at_);
 }
 
 busy_period_report busy_meter::TakePeriod(absl::Time now) {
--- a/src/event_loop/tests/busy_meter_test.cc
+++ b/src/event_loop/tests/busy_meter_test.cc
@@ -41,6 +41,22 @@
   CHECK(meter.LoadAt(now + absl::Hours(1)) == Approx(2));
 }
 
+// Guards against a saturated loop that counts as one with room, because it looks for events between
+// those that have queued.
+TEST_CASE("a loop that finds events at each wait has a load above 1") {
+  busy_meter meter(kStart);
+  const absl::Time now = Alternate(meter, kStart, absl::Milliseconds(1), absl::Microseconds(10),
+                                   absl::Milliseconds(300));
+  CHECK(meter.LoadAt(now) > 1.5);
+  CHECK(meter.BusyTime(now) > absl::Milliseconds(290));
+  const busy_period_report period = meter.TakePeriod(now);
+  CHECK(period.longest_run > absl::Milliseconds(290));
+  CHECK(period.waits == 0);
+  const absl::Time idle = Alternate(meter, now, absl::Microseconds(100), absl::Milliseconds(1),
+                                    absl::Milliseconds(300));
+  CHECK(meter.LoadAt(idle) < 0.2);
+}
+
 // Guards against a target that gets no more calls because its host was suspended once.
 TEST_CASE("the load of a loop falls soon after a stall") {
   busy_meter meter(kStart);
