Choose targets by the load of the event loop only when little of its time is left

Admission at the entries goes on with the whole load. Targets are chosen by twice the load less 1, so that a thread that is busy for half of its time counts as free, and a saturated one as before.

--- a/src/gateway/internal/target_executor.cc
+++ b/src/gateway/internal/target_executor.cc
@@ -548,22 +548,28 @@
 }
 
 void target_executor::AddLoadReport(const call& request, execute_result& delivered) {
+  const absl::Time now = deps_.clock.Now();
+  const double thread_load = deps_.thread == nullptr ? 0 : deps_.thread->BusyLoad(now);
+  double target_load = 0;
   bool includes_cost = false;
   {
     absl::MutexLock lock(&mutex_);
-    delivered.load = LoadAt(deps_.clock.Now());
+    target_load = TargetLoadAt(now);
     includes_cost = ++response_count_ % kResponsesPerCostReport == 0;
   }
+  // A thread with time to spare delays no call, so it is no reason to choose another target.
+  delivered.load = std::max(target_load, 2 * thread_load - 1);
   if (!includes_cost) return;
-  const service_cost own = {request.service, 1, delivered.load, absl::ZeroDuration()};
-  delivered.costs = deps_.graph.CostOf(request.route, own, deps_.clock.Now());
+  const service_cost own = {request.service, 1, std::max(target_load, thread_load),
+                            absl::ZeroDuration()};
+  delivered.costs = deps_.graph.CostOf(request.route, own, now);
 }
 
-double target_executor::LoadAt(absl::Time now) const {
+double target_executor::TargetLoadAt(absl::Time now) const {
   const double limit = std::max<double>(admission_.ConcurrencyLimit(), 1);
   double load = static_cast<double>(admission_.InFlightCalls() + admission_.QueuedCalls()) / limit;
   if (mode_ == overload_control_mode::kPlanned) load *= pace_.LoadFactor(now);
-  return deps_.thread == nullptr ? load : std::max(load, deps_.thread->BusyLoad(now));
+  return load;
 }
 
 void target_executor::Deliver(task& finished, outcome<call_answer> answer,
--- a/src/gateway/target_executor.h
+++ b/src/gateway/target_executor.h
@@ -180,11 +180,11 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplySlots(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   overload_level CurrentLevel() ABSL_LOCKS_EXCLUDED(mutex_);
-  // Adds the load to the result and, for a fraction of the responses, the cost of the route.
+  // Adds the load to the result, by which targets are chosen, and for a fraction of the responses
+  // the cost of the route, by which entries admit. Both count the target or the thread that passes
+  // calls on to it, whichever has less room.
   void AddLoadReport(const call& request, execute_result& delivered) ABSL_LOCKS_EXCLUDED(mutex_);
-  // Returns the load of what calls need here and has least room: the target or the thread that
-  // passes calls on to it.
-  double LoadAt(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  double TargetLoadAt(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Records the pace that the target reported with a response.
   void RecordPace(const outcome<http_response>& response, absl::Duration service_time,
                   absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
